--- /dev/null
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/OwnerLink.java
@@ -0,0 +1,167 @@
+package org.gooseberrypier.server.pool;
+
+import java.net.ConnectException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.grpc.ManagedChannel;
+import io.grpc.Status;
+import io.grpc.netty.NettyChannelBuilder;
+import io.grpc.stub.StreamObserver;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.ScheduledFuture;
+import org.gooseberrypier.http.HostPort;
+import org.gooseberrypier.pool.PoolEvent;
+import org.gooseberrypier.pool.PoolMessage;
+import org.gooseberrypier.pool.VmContact;
+import org.gooseberrypier.protocol.PoolServiceGrpc;
+import org.gooseberrypier.protocol.ToEntryProto;
+import org.gooseberrypier.protocol.ToOwnerProto;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The stream of a VM to the owner of the pool, opened again until it is closed; its state belongs to one event loop. */
+final class OwnerLink {
+
+    /** A link on which nothing arrived for this long is replaced, in milliseconds; three heartbeats and the way. */
+    static final long SILENT_MS = 500;
+
+    /** Distance of the messages that show that this end lives, in milliseconds. */
+    private static final long ALIVE_MS = 150;
+
+    private static final long RECONNECT_MS = 40;
+    private static final int CONNECT_TIMEOUT_MS = 400;
+    private static final Logger LOG = LoggerFactory.getLogger(OwnerLink.class);
+
+    private final VmContact self;
+    private final String peer;
+    private final EventLoop loop;
+    private final Consumer<PoolEvent> events;
+    private final ScheduledFuture<?> timer;
+    private Attempt attempt;
+    private boolean closed;
+
+    OwnerLink(VmContact self, String peer, EventLoop loop, Consumer<PoolEvent> events) {
+        this.self = self;
+        this.peer = peer;
+        this.loop = loop;
+        this.events = events;
+        this.timer = loop.scheduleWithFixedDelay(this::check, ALIVE_MS, ALIVE_MS, TimeUnit.MILLISECONDS);
+        loop.execute(this::connect);
+    }
+
+    void send(PoolMessage.ToOwner message) {
+        ToOwnerProto encoded = PoolMessageCodec.encode(message);
+        loop.execute(() -> {
+            if (attempt != null) {
+                attempt.out.onNext(encoded);
+            }
+        });
+    }
+
+    void close() {
+        loop.execute(() -> {
+            closed = true;
+            timer.cancel(false);
+            if (attempt != null) {
+                attempt.channel.shutdownNow();
+                attempt = null;
+            }
+        });
+    }
+
+    private void connect() {
+        if (!closed && attempt == null) {
+            attempt = new Attempt();
+            attempt.open();
+        }
+    }
+
+    private void check() {
+        if (attempt == null) {
+            return;
+        }
+        long silentMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - attempt.heardNanos);
+        if (silentMs > SILENT_MS) {
+            LOG.warn("event=owner_silent peer={} silent_ms={}", peer, silentMs);
+            lose(attempt, false);
+        } else {
+            attempt.out.onNext(ToOwnerProto.newBuilder().setAlive(true).build());
+        }
+    }
+
+    private void lose(Attempt lost, boolean refused) {
+        if (attempt != lost) {
+            return;
+        }
+        attempt = null;
+        lost.channel.shutdownNow();
+        events.accept(new PoolEvent.OwnerLinkDown(peer, refused));
+        loop.schedule(this::connect, RECONNECT_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private static boolean isRefused(Throwable error) {
+        for (Throwable t = error; t != null; t = t.getCause()) {
+            if (t instanceof ConnectException && String.valueOf(t.getMessage()).contains("refused")) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** One connection with one stream; it is never opened again. */
+    private final class Attempt implements StreamObserver<ToEntryProto> {
+
+        private final ManagedChannel channel;
+        private StreamObserver<ToOwnerProto> out;
+        private long heardNanos = System.nanoTime();
+
+        Attempt() {
+            channel = NettyChannelBuilder.forAddress(HostPort.parse(peer).toSocketAddress())
+                    .eventLoopGroup(loop)
+                    .channelType(NioSocketChannel.class)
+                    .withOption(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                    .withOption(ChannelOption.TCP_NODELAY, true)
+                    .proxyDetector(target -> null)
+                    .usePlaintext()
+                    .disableRetry()
+                    .directExecutor()
+                    .build();
+        }
+
+        void open() {
+            out = PoolServiceGrpc.newStub(channel).attach(this);
+            out.onNext(ToOwnerProto.newBuilder()
+                    .setHello(PoolMessageCodec.encode(self))
+                    .build());
+        }
+
+        @Override
+        public void onNext(ToEntryProto message) {
+            loop.execute(() -> take(message));
+        }
+
+        private void take(ToEntryProto message) {
+            if (attempt != this) {
+                return;
+            }
+            heardNanos = System.nanoTime();
+            if (message.getWelcome()) {
+                events.accept(new PoolEvent.OwnerLinkUp(peer));
+            }
+            PoolMessageCodec.decode(message).ifPresent(m -> events.accept(new PoolEvent.FromOwner(peer, m)));
+        }
+
+        @Override
+        public void onError(Throwable error) {
+            loop.execute(() -> lose(this, isRefused(error)));
+        }
+
+        @Override
+        public void onCompleted() {
+            onError(Status.CANCELLED.asRuntimeException());
+        }
+    }
+}
--- /dev/null
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolMessageCodec.java
@@ -0,0 +1,156 @@
+package org.gooseberrypier.server.pool;
+
+import java.util.Optional;
+
+import org.gooseberrypier.pool.JobOutcome;
+import org.gooseberrypier.pool.PoolJob;
+import org.gooseberrypier.pool.PoolMessage;
+import org.gooseberrypier.pool.VmContact;
+import org.gooseberrypier.protocol.FinishedProto;
+import org.gooseberrypier.protocol.PoolHeartbeatProto;
+import org.gooseberrypier.protocol.PoolJobProto;
+import org.gooseberrypier.protocol.PresentProto;
+import org.gooseberrypier.protocol.TaskDoneProto;
+import org.gooseberrypier.protocol.ToEntryProto;
+import org.gooseberrypier.protocol.ToOwnerProto;
+import org.gooseberrypier.protocol.VmContactProto;
+
+/** Turns the messages between an entry VM and the owner into protocol messages and back. */
+final class PoolMessageCodec {
+
+    private PoolMessageCodec() {}
+
+    static VmContactProto encode(VmContact vm) {
+        return VmContactProto.newBuilder()
+                .setAddress(vm.address())
+                .setZone(vm.zone())
+                .setIncarnation(vm.incarnation())
+                .build();
+    }
+
+    static VmContact decode(VmContactProto vm) {
+        return new VmContact(vm.getAddress(), vm.getZone(), vm.getIncarnation());
+    }
+
+    static ToOwnerProto encode(PoolMessage.ToOwner message) {
+        if (message instanceof PoolMessage.Present p) {
+            PresentProto.Builder present = PresentProto.newBuilder()
+                    .setJob(encode(p.job()))
+                    .setAgeMs(p.ageMs())
+                    .setHandovers(p.handovers())
+                    .addAllDoneTasks(p.doneTasks());
+            return ToOwnerProto.newBuilder().setPresent(present).build();
+        }
+        PoolMessage.Withdraw w = (PoolMessage.Withdraw) message;
+        return ToOwnerProto.newBuilder().setWithdraw(w.job()).build();
+    }
+
+    static Optional<PoolMessage.ToOwner> decode(ToOwnerProto message) {
+        return switch (message.getMessageCase()) {
+            case PRESENT -> Optional.of(decode(message.getPresent()));
+            case WITHDRAW -> Optional.of(new PoolMessage.Withdraw(message.getWithdraw()));
+            default -> Optional.empty();
+        };
+    }
+
+    private static PoolMessage.Present decode(PresentProto p) {
+        return new PoolMessage.Present(decode(p.getJob()), p.getAgeMs(), p.getHandovers(), p.getDoneTasksList());
+    }
+
+    private static PoolJobProto encode(PoolJob job) {
+        return PoolJobProto.newBuilder()
+                .setId(job.id())
+                .setQueue(job.queue())
+                .setService(job.service())
+                .setPayload(job.payload())
+                .setTasks(job.tasks())
+                .setMilliCores(job.milliCores())
+                .setMemoryMb(job.memoryMb())
+                .setEstimateMs(job.estimateMs())
+                .setPriority(job.priority())
+                .setMaxFailures(job.maxFailures())
+                .setStretch(job.stretch())
+                .setTargetLatencyMs(job.targetLatencyMs())
+                .setPreferredRack(job.preferredRack())
+                .setRequiredLabel(job.requiredLabel())
+                .build();
+    }
+
+    private static PoolJob decode(PoolJobProto job) {
+        return new PoolJob(
+                job.getId(),
+                job.getQueue(),
+                job.getService(),
+                job.getPayload(),
+                job.getTasks(),
+                job.getMilliCores(),
+                job.getMemoryMb(),
+                job.getEstimateMs(),
+                job.getPriority(),
+                job.getMaxFailures(),
+                job.getStretch(),
+                job.getTargetLatencyMs(),
+                job.getPreferredRack(),
+                job.getRequiredLabel());
+    }
+
+    static ToEntryProto encode(PoolMessage.ToEntry message) {
+        ToEntryProto.Builder out = ToEntryProto.newBuilder();
+        if (message instanceof PoolMessage.TaskDone d) {
+            out.setTaskDone(TaskDoneProto.newBuilder().setJob(d.job()).setTask(d.task()));
+        } else if (message instanceof PoolMessage.Finished f) {
+            out.setFinished(encode(f));
+        } else if (message instanceof PoolMessage.Heartbeat h) {
+            PoolHeartbeatProto.Builder beat =
+                    PoolHeartbeatProto.newBuilder().setToken(h.token()).putAllWaiting(h.waiting());
+            h.peers().forEach(p -> beat.addPeers(encode(p)));
+            out.setHeartbeat(beat);
+        } else if (message instanceof PoolMessage.NotOwner n) {
+            out.setNotOwner(n.token());
+        }
+        return out.build();
+    }
+
+    private static FinishedProto encode(PoolMessage.Finished f) {
+        FinishedProto.Builder out = FinishedProto.newBuilder().setJob(f.job());
+        if (f.outcome() instanceof JobOutcome.Completed) {
+            out.setOutcome(FinishedProto.Outcome.COMPLETED);
+        } else if (f.outcome() instanceof JobOutcome.Failed o) {
+            out.setOutcome(FinishedProto.Outcome.FAILED).setReason(o.reason());
+        } else if (f.outcome() instanceof JobOutcome.Refused o) {
+            out.setOutcome(FinishedProto.Outcome.REFUSED).setReason(o.reason()).setRetryAfterMs(o.retryAfterMs());
+        } else if (f.outcome() instanceof JobOutcome.Unknown o) {
+            out.setOutcome(FinishedProto.Outcome.UNKNOWN).setReason(o.reason());
+        }
+        return out.build();
+    }
+
+    static Optional<PoolMessage.ToEntry> decode(ToEntryProto message) {
+        return switch (message.getMessageCase()) {
+            case TASK_DONE ->
+                Optional.of(new PoolMessage.TaskDone(
+                        message.getTaskDone().getJob(), message.getTaskDone().getTask()));
+            case FINISHED -> Optional.of(decode(message.getFinished()));
+            case HEARTBEAT ->
+                Optional.of(new PoolMessage.Heartbeat(
+                        message.getHeartbeat().getToken(),
+                        message.getHeartbeat().getPeersList().stream()
+                                .map(PoolMessageCodec::decode)
+                                .toList(),
+                        message.getHeartbeat().getWaitingMap()));
+            case NOT_OWNER -> Optional.of(new PoolMessage.NotOwner(message.getNotOwner()));
+            default -> Optional.empty();
+        };
+    }
+
+    private static PoolMessage.Finished decode(FinishedProto f) {
+        JobOutcome outcome =
+                switch (f.getOutcome()) {
+                    case COMPLETED -> new JobOutcome.Completed();
+                    case FAILED -> new JobOutcome.Failed(f.getReason());
+                    case REFUSED -> new JobOutcome.Refused(f.getReason(), f.getRetryAfterMs());
+                    default -> new JobOutcome.Unknown(f.getReason());
+                };
+        return new PoolMessage.Finished(f.getJob(), outcome);
+    }
+}
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/api/Dispatcher.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/api/Dispatcher.java
@@ -1,42 +1,32 @@
 package org.gooseberrypier.api;
 
 import java.util.Objects;
-import java.util.concurrent.locks.LockSupport;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
-import com.lmax.disruptor.EventHandler;
-import com.lmax.disruptor.ExceptionHandler;
-import com.lmax.disruptor.RingBuffer;
-import com.lmax.disruptor.dsl.Disruptor;
-import com.lmax.disruptor.dsl.ProducerType;
 import org.gooseberrypier.event.Event;
+import org.gooseberrypier.internal.engine.EventRing;
 
 /** Runs a {@link Core} on one Disruptor consumer thread. */
 public final class Dispatcher implements AutoCloseable {
 
     private static final long MAX_SLEEP_MS = 100;
-    private static final long FULL_PAUSE_NANOS = 50_000;
 
     private final Core core;
     private final LongSupplier clock;
-    private final Disruptor<Slot> disruptor;
-    private final RingBuffer<Slot> ring;
-    private volatile boolean closed;
+    private final EventRing<Consumer<Core>> ring;
 
     private Dispatcher(Builder builder) {
         core = new Core(builder.settings, builder.sink);
         clock = builder.clock;
-        disruptor = new Disruptor<>(
-                Slot::new,
+        ring = new EventRing<>(
+                "dispatcher-core",
                 builder.ringSize,
-                r -> new Thread(r, "dispatcher-core"),
-                ProducerType.MULTI,
-                new TimerWaitStrategy(this::sleepMs));
-        disruptor.setDefaultExceptionHandler(new StopOnError(builder.fatal));
-        disruptor.handleEventsWith(new CoreHandler());
-        ring = disruptor.getRingBuffer();
+                step -> step.accept(core),
+                () -> core.advance(clock.getAsLong()),
+                this::sleepMs,
+                error -> builder.fatal.accept(error, core));
     }
 
     /**
@@ -52,7 +42,7 @@
 
     /** Starts the core's thread. */
     public void start() {
-        disruptor.start();
+        ring.start();
     }
 
     /**
@@ -61,9 +51,7 @@
      * @param event the event
      */
     public void publish(Event event) {
-        while (!closed && !tryPublish(event)) {
-            LockSupport.parkNanos(FULL_PAUSE_NANOS);
-        }
+        ring.publish(c -> c.handle(event, clock.getAsLong()));
     }
 
     /**
@@ -73,7 +61,7 @@
      * @return whether it was published
      */
     public boolean tryPublish(Event event) {
-        return !closed && ring.tryPublishEvent((slot, sequence, e) -> slot.event = e, event);
+        return ring.tryPublish(c -> c.handle(event, clock.getAsLong()));
     }
 
     /**
@@ -82,9 +70,7 @@
      * @param reader the reader, which must not block
      */
     public void inspect(Consumer<Core> reader) {
-        if (!closed) {
-            ring.tryPublishEvent((slot, sequence, r) -> slot.reader = r, reader);
-        }
+        ring.tryPublish(reader);
     }
 
     /**
@@ -93,13 +79,12 @@
      * @return events
      */
     public long waitingEvents() {
-        return ring.getBufferSize() - ring.remainingCapacity();
+        return ring.waiting();
     }
 
     @Override
     public void close() {
-        closed = true;
-        disruptor.halt();
+        ring.close();
     }
 
     private long sleepMs() {
@@ -165,56 +150,4 @@
             return new Dispatcher(this);
         }
     }
-
-    private static final class Slot {
-        private Event event;
-        private Consumer<Core> reader;
-    }
-
-    private final class CoreHandler implements EventHandler<Slot> {
-
-        @Override
-        public void onEvent(Slot slot, long sequence, boolean endOfBatch) {
-            Event event = slot.event;
-            Consumer<Core> reader = slot.reader;
-            slot.event = null;
-            slot.reader = null;
-            if (event != null) {
-                core.handle(event, clock.getAsLong());
-            }
-            if (reader != null) {
-                reader.accept(core);
-            }
-        }
-
-        @Override
-        public void onTimeout(long sequence) {
-            core.advance(clock.getAsLong());
-        }
-    }
-
-    private final class StopOnError implements ExceptionHandler<Slot> {
-
-        private final BiConsumer<Throwable, Core> fatal;
-
-        StopOnError(BiConsumer<Throwable, Core> fatal) {
-            this.fatal = fatal;
-        }
-
-        @Override
-        public void handleEventException(Throwable error, long sequence, Slot slot) {
-            close();
-            fatal.accept(error, core);
-        }
-
-        @Override
-        public void handleOnStartException(Throwable error) {
-            fatal.accept(error, core);
-        }
-
-        @Override
-        public void handleOnShutdownException(Throwable error) {
-            fatal.accept(error, core);
-        }
-    }
 }
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/api/TimerWaitStrategy.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/engine/TimerWaitStrategy.java
@@ -1,4 +1,4 @@
-package org.gooseberrypier.api;
+package org.gooseberrypier.internal.engine;
 
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
--- /dev/null
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
@@ -0,0 +1,512 @@
+package org.gooseberrypier.internal.pool;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.gooseberrypier.pool.JobOutcome;
+import org.gooseberrypier.pool.PoolEffect;
+import org.gooseberrypier.pool.PoolEvent;
+import org.gooseberrypier.pool.PoolJob;
+import org.gooseberrypier.pool.PoolMessage;
+import org.gooseberrypier.pool.RunEnd;
+import org.gooseberrypier.pool.RunId;
+import org.gooseberrypier.pool.StartResult;
+import org.gooseberrypier.pool.VmContact;
+
+/**
+ * Runs jobs at the owner: it starts and stops their tasks, takes note of their ends and tells who waits for them.
+ *
+ * <p>At most one run of a task exists at a time: a task is started only while no run of it can exist, and one whose start
+ * is unanswered is stopped first.
+ */
+final class JobController implements LeaseController.RunListener {
+
+    /** A VM whose link was lost has this long to come back before its jobs are stopped, in milliseconds. */
+    private static final long DETACHED_MS = 400;
+
+    /** By then a run of an earlier owner that can not be heard has lapsed or was stopped, in milliseconds. */
+    private static final long EARLIER_RUNS_MS = 1_400;
+
+    /** Outcomes are kept this long for callers that send a job again, in milliseconds. */
+    private static final long KEPT_MS = 10_000;
+
+    private static final int MAX_KEPT = 20_000;
+    private static final int MAX_JOBS = 20_000;
+
+    /** An endpoint that refused for want of room or of health is left out for a while, in milliseconds. */
+    private static final long AVOID_MS = 60;
+
+    private static final long AVOID_UNHEALTHY_MS = 400;
+
+    /** An endpoint that fails tasks is left out for this long for each failure in a row, in milliseconds. */
+    private static final long AVOID_FAILING_MS = 500;
+
+    private static final int MAX_SUSPICION = 4;
+
+    /** A stop without an answer is sent again after this time, in milliseconds. */
+    private static final long STOP_RETRY_MS = 250;
+
+    /** A run that takes this many times its expected duration, and this much more, stands still. */
+    private static final double OVERDUE_FACTOR = 2.5;
+
+    private static final double OVERDUE_MS = 150;
+
+    private static final long MIN_RETRY_AFTER_MS = 500;
+
+    private final PoolBoard board;
+    private final LeaseController leases;
+    private final OwnershipController ownership;
+    private final DurationEstimator durations = new DurationEstimator();
+    private final PlacementPlanner planner = new PlacementPlanner(durations);
+    private final Map<String, Kept> kept = new LinkedHashMap<>();
+
+    private record Kept(JobOutcome outcome, long untilMs) {}
+
+    JobController(PoolBoard board, OwnershipController ownership, double remotePenalty) {
+        this.board = board;
+        this.ownership = ownership;
+        this.leases = new LeaseController(board, this);
+        durations.setRemotePenalty(remotePenalty);
+    }
+
+    LeaseController leases() {
+        return leases;
+    }
+
+    /** Forgets all jobs, as another VM owns the endpoints now. */
+    void end() {
+        board.jobs.clear();
+        kept.clear();
+    }
+
+    void onPresent(VmContact from, PoolMessage.Present p) {
+        PoolJob spec = p.job();
+        Kept earlier = kept.get(spec.id());
+        if (earlier != null && earlier.outcome() instanceof JobOutcome.Completed) {
+            board.sendEntry(from, new PoolMessage.Finished(spec.id(), earlier.outcome()));
+            return;
+        }
+        OwnedJob known = board.jobs.get(spec.id());
+        if (known != null && known.ending) {
+            known.again = p;
+            known.againFrom = from;
+        } else if (known != null) {
+            known.subscribers.put(from, 0L);
+        } else {
+            admit(from, p);
+        }
+    }
+
+    private void admit(VmContact from, PoolMessage.Present p) {
+        PoolJob spec = p.job();
+        OwnedJob job = new OwnedJob(spec, board.now - p.ageMs(), p.isResumed());
+        if (!p.isResumed() && board.jobs.size() >= MAX_JOBS) {
+            refuse(from, spec, "queue full");
+            return;
+        }
+        if (!p.isResumed() && !canEverRun(spec)) {
+            refuse(from, spec, "no endpoint is large enough");
+            return;
+        }
+        job.subscribers.put(from, 0L);
+        board.jobs.put(spec.id(), job);
+        if (p.isResumed()) {
+            resume(job, p);
+        }
+        board.placementDue = true;
+    }
+
+    private void resume(OwnedJob job, PoolMessage.Present p) {
+        for (int i : p.doneTasks()) {
+            setDone(job, i);
+        }
+        for (int i : leases.takeDone(job.spec.id())) {
+            setDone(job, i);
+        }
+        leases.adopt(job);
+        for (OwnedTask t : job.tasks) {
+            if (t.state == OwnedTask.State.WAITING) {
+                t.attempt = p.handovers() * OwnedJob.ATTEMPTS_PER_OWNER;
+            }
+        }
+        board.log("event=job_resumed job=" + job.spec.id() + " done=" + job.done + " running=" + job.active);
+        finishIfDone(job);
+    }
+
+    private void setDone(OwnedJob job, int index) {
+        if (index < job.tasks.size() && job.tasks.get(index).state == OwnedTask.State.WAITING) {
+            job.set(job.tasks.get(index), OwnedTask.State.DONE);
+        }
+    }
+
+    private boolean canEverRun(PoolJob spec) {
+        if (board.endpoints.isEmpty()) {
+            return true;
+        }
+        for (LeasedEndpoint e : board.endpoints.values()) {
+            if (PlacementPlanner.isAllowed(spec, e)
+                    && e.entry.milliCores() >= spec.milliCores()
+                    && e.entry.memoryMb() >= spec.memoryMb()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private void refuse(VmContact to, PoolJob spec, String why) {
+        board.log("event=job_refused job=" + spec.id() + " reason=\"" + why + "\" jobs=" + board.jobs.size());
+        board.sendEntry(to, new PoolMessage.Finished(spec.id(), new JobOutcome.Refused(why, MIN_RETRY_AFTER_MS)));
+    }
+
+    void onWithdraw(VmContact from, String id) {
+        OwnedJob job = board.jobs.get(id);
+        if (job == null) {
+            return;
+        }
+        if (job.ending) {
+            job.again = null;
+            return;
+        }
+        job.subscribers.remove(from);
+        if (job.subscribers.isEmpty()) {
+            end(job, "withdrawn");
+        }
+    }
+
+    void onAttached(VmContact vm) {
+        for (OwnedJob j : board.jobs.values()) {
+            j.subscribers.computeIfPresent(vm, (v, since) -> 0L);
+        }
+    }
+
+    void onDetached(VmContact vm) {
+        for (OwnedJob j : board.jobs.values()) {
+            j.subscribers.computeIfPresent(vm, (v, since) -> board.now);
+        }
+    }
+
+    private void dropDetached() {
+        for (OwnedJob j : new ArrayList<>(board.jobs.values())) {
+            if (!j.ending) {
+                j.subscribers.values().removeIf(since -> since > 0 && board.now - since > DETACHED_MS);
+                if (j.subscribers.isEmpty()) {
+                    end(j, "its entry VM is gone");
+                }
+            }
+        }
+    }
+
+    /** Stops what runs of a job that nobody waits for; the job is forgotten when its last run is gone. */
+    private void end(OwnedJob job, String why) {
+        board.log("event=job_ended job=" + job.spec.id() + " reason=\"" + why + "\" running=" + job.active);
+        job.ending = true;
+        for (OwnedTask t : job.tasks) {
+            if (t.state == OwnedTask.State.STARTING || t.state == OwnedTask.State.RUNNING) {
+                stop(t);
+            }
+        }
+        forgetIfGone(job);
+    }
+
+    private void stop(OwnedTask t) {
+        t.job.set(t, OwnedTask.State.STOPPING);
+        t.stopAccepted = false;
+        t.stopSentAtMs = board.now;
+        board.emit(new PoolEffect.Stop(t.endpoint.entry, board.token, t.run()));
+    }
+
+    private void forgetIfGone(OwnedJob job) {
+        if (!job.ending || job.active > 0) {
+            return;
+        }
+        board.jobs.remove(job.spec.id());
+        if (job.again != null) {
+            onPresent(job.againFrom, job.again);
+        }
+    }
+
+    private void finish(OwnedJob job, JobOutcome outcome) {
+        for (VmContact vm : job.subscribers.keySet()) {
+            board.sendEntry(vm, new PoolMessage.Finished(job.spec.id(), outcome));
+        }
+        job.subscribers.clear();
+        kept.remove(job.spec.id());
+        kept.put(job.spec.id(), new Kept(outcome, board.now + KEPT_MS));
+        if (kept.size() > MAX_KEPT) {
+            kept.remove(kept.keySet().iterator().next());
+        }
+    }
+
+    private void finishIfDone(OwnedJob job) {
+        if (!job.ending && job.done == job.spec.tasks()) {
+            board.log("event=job_completed job=" + job.spec.id() + " age_ms=" + (board.now - job.arrivedAtMs));
+            finish(job, new JobOutcome.Completed());
+            board.jobs.remove(job.spec.id());
+        }
+    }
+
+    private void release(OwnedTask t, OwnedTask.State next) {
+        if (t.endpoint != null) {
+            t.endpoint.remove(t);
+        }
+        t.overdue = false;
+        t.job.set(t, next);
+        board.placementDue = true;
+    }
+
+    @Override
+    public void onRunning(OwnedTask t) {
+        if (t.state == OwnedTask.State.STARTING) {
+            t.job.set(t, OwnedTask.State.RUNNING);
+            t.confirmedAtMs = board.now;
+        }
+    }
+
+    @Override
+    public void onEnd(OwnedTask t, RunEnd.Cause cause) {
+        LeasedEndpoint e = t.endpoint;
+        switch (cause) {
+            case DONE -> {
+                e.suspicion = 0;
+                durations.observe(t.job.spec, e, board.now - t.startedAtMs);
+                release(t, OwnedTask.State.DONE);
+                tellDone(t);
+            }
+            case FAILED -> {
+                t.failures++;
+                e.suspicion = Math.min(MAX_SUSPICION, e.suspicion + 1);
+                e.avoidUntilMs = board.now + AVOID_FAILING_MS * (e.suspicion - 1);
+                board.log("event=task_failed run=" + t.run() + " endpoint=" + e.entry.id() + " failures=" + t.failures
+                        + " suspicion=" + e.suspicion);
+                release(t, OwnedTask.State.WAITING);
+                failIfHopeless(t);
+            }
+            default -> {
+                board.log("event=run_interrupted run=" + t.run() + " endpoint=" + e.entry.id());
+                release(t, OwnedTask.State.WAITING);
+            }
+        }
+        forgetIfGone(t.job);
+    }
+
+    private void tellDone(OwnedTask t) {
+        if (t.job.ending) {
+            return;
+        }
+        if (t.job.done < t.job.spec.tasks()) {
+            for (VmContact vm : t.job.subscribers.keySet()) {
+                if (!vm.equals(board.self())) {
+                    board.sendEntry(vm, new PoolMessage.TaskDone(t.job.spec.id(), t.index));
+                }
+            }
+        }
+        finishIfDone(t.job);
+    }
+
+    private void failIfHopeless(OwnedTask t) {
+        if (t.failures >= t.job.spec.maxFailures() && !t.job.ending) {
+            finish(t.job, new JobOutcome.Failed("a task failed " + t.failures + " times"));
+            end(t.job, "failed");
+        }
+    }
+
+    @Override
+    public void onGone(OwnedTask t, String why) {
+        board.log("event=run_gone run=" + t.run() + " reason=\"" + why + "\" state=" + t.state);
+        release(t, OwnedTask.State.WAITING);
+        forgetIfGone(t.job);
+    }
+
+    @Override
+    public boolean onStrayDone(RunId run) {
+        OwnedJob job = board.jobs.get(run.job());
+        if (job == null || job.ending) {
+            return false;
+        }
+        setDone(job, run.task());
+        finishIfDone(job);
+        return true;
+    }
+
+    @Override
+    public void onFenced() {
+        ownership.onFenced();
+    }
+
+    void onStartEnded(PoolEvent.StartEnded event) {
+        RunId run = event.start().run();
+        OwnedJob job = board.jobs.get(run.job());
+        if (event.result() == StartResult.FENCED) {
+            fenced(event.start());
+        }
+        if (job == null || run.task() >= job.tasks.size()) {
+            return;
+        }
+        OwnedTask t = job.tasks.get(run.task());
+        if (t.endpoint == null || !t.run().equals(run)) {
+            return;
+        }
+        started(t, event);
+        forgetIfGone(job);
+    }
+
+    private void fenced(PoolEffect.Start start) {
+        LeasedEndpoint e = board.endpoints.get(start.endpoint().id());
+        if (start.token() == board.token && e != null) {
+            e.fenced = true;
+            ownership.onFenced();
+        }
+    }
+
+    private void started(OwnedTask t, PoolEvent.StartEnded event) {
+        LeasedEndpoint e = t.endpoint;
+        switch (event.result()) {
+            case STARTED -> {
+                onRunning(t);
+            }
+            case UNANSWERED -> {
+                if (t.state == OwnedTask.State.STARTING) {
+                    board.log("event=start_unanswered run=" + t.run() + " endpoint=" + e.entry.id());
+                    e.avoidUntilMs = board.now + AVOID_UNHEALTHY_MS;
+                    stop(t);
+                }
+            }
+            default -> {
+                board.log("event=start_rejected run=" + t.run() + " endpoint=" + e.entry.id() + " result="
+                        + event.result());
+                avoid(e, event);
+                if (event.result() == StartResult.SUPERSEDED) {
+                    skipAttempts(t);
+                }
+                release(t, OwnedTask.State.WAITING);
+                if (event.result() == StartResult.INVALID && !t.job.ending) {
+                    finish(t.job, new JobOutcome.Failed("an endpoint calls the task invalid"));
+                    end(t.job, "invalid");
+                }
+            }
+        }
+    }
+
+    /** Passes over the attempts of an owner that this one knows nothing of. */
+    private void skipAttempts(OwnedTask t) {
+        LeasedEndpoint e = t.endpoint;
+        e.remove(t);
+        t.attempt += OwnedJob.ATTEMPTS_PER_OWNER;
+    }
+
+    private void avoid(LeasedEndpoint e, PoolEvent.StartEnded event) {
+        long ms =
+                switch (event.result()) {
+                    case NO_ROOM -> AVOID_MS;
+                    case UNHEALTHY, NOT_SENT, OTHER_INCARNATION -> AVOID_UNHEALTHY_MS;
+                    default -> 0;
+                };
+        e.avoidUntilMs = Math.max(e.avoidUntilMs, board.now + ms);
+    }
+
+    void onStopEnded(PoolEvent.StopEnded event) {
+        RunId run = event.stop().run();
+        OwnedJob job = board.jobs.get(run.job());
+        if (job == null || run.task() >= job.tasks.size()) {
+            return;
+        }
+        OwnedTask t = job.tasks.get(run.task());
+        if (t.state == OwnedTask.State.STOPPING && t.run().equals(run) && event.accepted() && !t.stopAccepted) {
+            t.stopAccepted = true;
+            t.confirmedAtMs = board.now;
+        }
+    }
+
+    void onTick() {
+        dropDetached();
+        expireKept();
+        for (OwnedJob j : board.jobs.values()) {
+            for (OwnedTask t : j.tasks) {
+                check(t);
+            }
+        }
+        refuseHopeless();
+        board.placementDue = true;
+    }
+
+    private void check(OwnedTask t) {
+        if (t.state == OwnedTask.State.STOPPING && !t.stopAccepted && board.now - t.stopSentAtMs >= STOP_RETRY_MS) {
+            t.stopSentAtMs = board.now;
+            board.emit(new PoolEffect.Stop(t.endpoint.entry, board.token, t.run()));
+        } else if (t.state == OwnedTask.State.RUNNING && isOverdue(t)) {
+            LeasedEndpoint e = t.endpoint;
+            e.suspicion = Math.min(MAX_SUSPICION, e.suspicion + 1);
+            e.avoidUntilMs = Math.max(e.avoidUntilMs, board.now + AVOID_FAILING_MS * e.suspicion);
+            board.log("event=run_overdue run=" + t.run() + " endpoint=" + e.entry.id() + " age_ms="
+                    + (board.now - t.startedAtMs) + " suspicion=" + e.suspicion);
+            stop(t);
+        }
+    }
+
+    private boolean isOverdue(OwnedTask t) {
+        double expected = durations.expectMs(t.job.spec, t.endpoint);
+        return !t.job.ending && board.now - t.startedAtMs > OVERDUE_FACTOR * expected + OVERDUE_MS;
+    }
+
+    private void expireKept() {
+        Iterator<Kept> i = kept.values().iterator();
+        while (i.hasNext() && i.next().untilMs() <= board.now) {
+            i.remove();
+        }
+    }
+
+    /** Refuses jobs of which nothing was started and that can not be answered in time to be of use. */
+    private void refuseHopeless() {
+        for (OwnedJob j : new ArrayList<>(board.jobs.values())) {
+            if (!j.ending && !j.everStarted && planner.isHopeless(j, board.now)) {
+                JobOutcome outcome = j.resumed
+                        ? new JobOutcome.Unknown("its runs under the last owner are unknown")
+                        : new JobOutcome.Refused("no room in time", MIN_RETRY_AFTER_MS);
+                finish(j, outcome);
+                end(j, "no room in time");
+            }
+        }
+    }
+
+    /** Starts what can be started now. */
+    void place() {
+        board.placementDue = false;
+        boolean earlierGone = leases.isAllHeard() || board.now - board.ownerSinceMs >= EARLIER_RUNS_MS;
+        List<OwnedJob> waiting = new ArrayList<>();
+        for (OwnedJob j : board.jobs.values()) {
+            if (j.waiting > 0 && !j.ending && (earlierGone || !j.resumed)) {
+                waiting.add(j);
+            }
+        }
+        if (!waiting.isEmpty()) {
+            planner.plan(waiting, board.endpoints.values(), board.now, this::start);
+        }
+    }
+
+    private void start(PlacementPlanner.Place place) {
+        OwnedTask t = place.task();
+        LeasedEndpoint e = place.endpoint();
+        t.attempt++;
+        t.startedAtMs = board.now;
+        t.job.everStarted = true;
+        t.job.set(t, OwnedTask.State.STARTING);
+        e.add(t);
+        long deadline = e.extend(board.now, LeaseController.LEASE_MS);
+        board.emit(new PoolEffect.Start(e.entry, board.token, e.incarnation, t.run(), t.job.spec.payload(), deadline));
+    }
+
+    /** Counts the jobs of which nothing has started, by queue. */
+    Map<String, Integer> waitingByQueue() {
+        Map<String, Integer> counts = new HashMap<>();
+        for (OwnedJob j : board.jobs.values()) {
+            if (!j.isBegun() && !j.ending) {
+                counts.merge(j.spec.queue(), 1, Integer::sum);
+            }
+        }
+        return counts;
+    }
+}
--- /dev/null
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseController.java
@@ -0,0 +1,342 @@
+package org.gooseberrypier.internal.pool;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.gooseberrypier.pool.HoldResult;
+import org.gooseberrypier.pool.PoolEffect;
+import org.gooseberrypier.pool.PoolEndpoint;
+import org.gooseberrypier.pool.PoolEvent;
+import org.gooseberrypier.pool.RunEnd;
+import org.gooseberrypier.pool.RunId;
+
+/**
+ * Keeps the leases of the owned endpoints and learns from them what runs there and what has ended.
+ *
+ * <p>Each endpoint has one call open at a time, which renews its leases and waits for the next end. A run counts as gone
+ * only when the endpoint says so or when its lease has surely lapsed.
+ */
+final class LeaseController {
+
+    /** How long a lease lasts, in milliseconds; below the platform's limit by the way of an order. */
+    static final long LEASE_MS = 900;
+
+    /** How long an endpoint waits for an end before it answers, in milliseconds; three renewals fit into a lease. */
+    private static final long HOLD_WAIT_MS = 300;
+
+    /** Pause after a call that failed, in milliseconds. */
+    private static final long HOLD_RETRY_MS = 60;
+
+    /** Pause after an endpoint refused the token, in milliseconds; a newer token calls at once. */
+    private static final long FENCED_RETRY_MS = 4_000;
+
+    /** Within this time of taking over, the entry VMs hand their jobs over again, in milliseconds. */
+    private static final long STRAY_MS = 500;
+
+    private final PoolBoard board;
+    private final RunListener listener;
+    private final Map<String, Set<Integer>> strayDone = new HashMap<>();
+
+    /** Hears what becomes of runs. */
+    interface RunListener {
+
+        /** A run was seen running. */
+        void onRunning(OwnedTask task);
+
+        /** A run has ended as its endpoint says. */
+        void onEnd(OwnedTask task, RunEnd.Cause cause);
+
+        /** A run is surely gone, without an end. */
+        void onGone(OwnedTask task, String why);
+
+        /**
+         * A run of an earlier owner has ended well.
+         *
+         * @return whether its job is here
+         */
+        boolean onStrayDone(RunId run);
+
+        /** An endpoint refused the token. */
+        void onFenced();
+    }
+
+    LeaseController(PoolBoard board, RunListener listener) {
+        this.board = board;
+        this.listener = listener;
+    }
+
+    void onRead(PoolEvent.EndpointsRead event) {
+        board.registered = event.endpoints();
+        if (board.isOwner()) {
+            merge();
+        }
+    }
+
+    private void merge() {
+        Set<String> seen = new HashSet<>();
+        for (PoolEndpoint e : board.registered) {
+            if (board.role == OwnerRole.ZONE_OWNER
+                    && !e.zone().equals(board.self().zone())) {
+                continue;
+            }
+            seen.add(e.id());
+            LeasedEndpoint known = board.endpoints.get(e.id());
+            if (known == null) {
+                board.endpoints.put(e.id(), new LeasedEndpoint(e));
+                continue;
+            }
+            if (!known.entry.address().equals(e.address())) {
+                restarted(known, "moved");
+            }
+            if (known.entry.draining() != e.draining()) {
+                board.log("event=endpoint_draining endpoint=" + e.id() + " draining=" + e.draining());
+            }
+            known.entry = e;
+            known.registered = true;
+        }
+        for (LeasedEndpoint e : new ArrayList<>(board.endpoints.values())) {
+            if (!seen.contains(e.entry.id())) {
+                e.registered = false;
+                if (e.runs.isEmpty() && e.isLapsed(board.now)) {
+                    board.endpoints.remove(e.entry.id());
+                }
+            }
+        }
+        board.placementDue = true;
+    }
+
+    /** Begins to own: nothing is known about any endpoint until it has answered under the new token. */
+    void begin() {
+        strayDone.clear();
+        for (LeasedEndpoint e : board.endpoints.values()) {
+            e.heard = false;
+            e.fenced = false;
+            e.nextHoldAtMs = 0;
+        }
+        merge();
+    }
+
+    /** Forgets everything, as another VM owns the endpoints now. */
+    void end() {
+        board.endpoints.clear();
+        strayDone.clear();
+    }
+
+    void onTick() {
+        for (LeasedEndpoint e : new ArrayList<>(board.endpoints.values())) {
+            if (!e.holding && board.now >= e.nextHoldAtMs) {
+                hold(e);
+            }
+            if (!e.runs.isEmpty() && e.isLapsed(board.now)) {
+                lapse(e);
+            }
+            stopStrays(e);
+        }
+    }
+
+    private void hold(LeasedEndpoint e) {
+        if (!e.registered && e.runs.isEmpty() && e.strays.isEmpty()) {
+            return;
+        }
+        long deadline = e.isClockKnown() ? e.extend(board.now, LEASE_MS) : PoolEffect.NO_DEADLINE;
+        long wait = e.heard && !e.fenced ? HOLD_WAIT_MS : 0;
+        e.holding = true;
+        board.emit(new PoolEffect.Hold(e.entry, board.token, board.now, e.lastSeen, deadline, wait));
+    }
+
+    private void lapse(LeasedEndpoint e) {
+        board.warn("event=leases_lapsed endpoint=" + e.entry.id() + " runs=" + e.runs.size() + " silent_ms="
+                + (board.now - e.heardAtMs));
+        e.heard = false;
+        for (OwnedTask t : new ArrayList<>(e.runs.values())) {
+            listener.onGone(t, "lapsed");
+        }
+    }
+
+    void onHoldEnded(PoolEvent.HoldEnded event) {
+        PoolEffect.Hold hold = event.hold();
+        LeasedEndpoint e = board.endpoints.get(hold.endpoint().id());
+        if (e == null || !e.entry.address().equals(hold.endpoint().address())) {
+            return;
+        }
+        e.holding = false;
+        if (hold.token() != board.token) {
+            e.nextHoldAtMs = board.now;
+        } else if (event.result() instanceof HoldResult.Held h) {
+            e.nextHoldAtMs = board.now;
+            held(e, hold, h);
+        } else if (event.result() instanceof HoldResult.Rejected r) {
+            rejected(e, r.cause());
+        } else {
+            e.unanswered++;
+            e.nextHoldAtMs = board.now + HOLD_RETRY_MS;
+            if (e.unanswered == 1) {
+                board.log("event=endpoint_silent endpoint=" + e.entry.id() + " heard_ms_ago="
+                        + (board.now - e.heardAtMs));
+            }
+        }
+        if (!e.holding && board.now >= e.nextHoldAtMs) {
+            hold(e);
+        }
+    }
+
+    private void rejected(LeasedEndpoint e, HoldResult.Rejection cause) {
+        switch (cause) {
+            case FENCED -> {
+                e.fenced = true;
+                e.nextHoldAtMs = board.now + FENCED_RETRY_MS;
+                listener.onFenced();
+            }
+            case OTHER_INCARNATION -> {
+                restarted(e, "restarted");
+                e.nextHoldAtMs = board.now;
+            }
+            default -> e.nextHoldAtMs = board.now + HOLD_RETRY_MS;
+        }
+    }
+
+    private void held(LeasedEndpoint e, PoolEffect.Hold hold, HoldResult.Held h) {
+        if (e.incarnation != 0 && e.incarnation != h.incarnation()) {
+            restarted(e, "restarted");
+        }
+        e.incarnation = h.incarnation();
+        e.setClock(h.clockMs(), board.now);
+        if (e.unanswered > 0) {
+            board.log("event=endpoint_back endpoint=" + e.entry.id() + " unanswered=" + e.unanswered);
+            e.unanswered = 0;
+        }
+        for (RunEnd end : h.ends()) {
+            if (end.sequence() > e.lastSeen) {
+                e.lastSeen = end.sequence();
+                ended(e, end);
+            }
+        }
+        compare(e, hold, new HashSet<>(h.running()));
+        if (!e.heard) {
+            e.heard = true;
+            board.placementDue = true;
+        }
+    }
+
+    private void ended(LeasedEndpoint e, RunEnd end) {
+        board.placementDue = true;
+        OwnedTask task = e.runs.get(end.run());
+        if (task != null) {
+            listener.onEnd(task, end.cause());
+            return;
+        }
+        e.strays.remove(end.run());
+        if (end.cause() == RunEnd.Cause.DONE && !listener.onStrayDone(end.run())) {
+            strayDone
+                    .computeIfAbsent(end.run().job(), j -> new HashSet<>())
+                    .add(end.run().task());
+        }
+    }
+
+    /** Compares what the endpoint lists as running with what is known. */
+    private void compare(LeasedEndpoint e, PoolEffect.Hold hold, Set<RunId> running) {
+        for (OwnedTask t : new ArrayList<>(e.runs.values())) {
+            boolean listed = running.remove(t.run());
+            if (listed) {
+                listener.onRunning(t);
+            } else if (isSurelyAnswered(t, hold.sentAtMs())) {
+                listener.onGone(t, "not listed");
+            }
+        }
+        e.strays.keySet().retainAll(running);
+        for (RunId r : running) {
+            OwnedJob job = board.jobs.get(r.job());
+            if (job == null || job.ending || !adopt(job, e, r)) {
+                e.strays.putIfAbsent(r, board.now);
+            }
+        }
+    }
+
+    /** Returns whether the order that concerned the run was answered before the list was asked for. */
+    private static boolean isSurelyAnswered(OwnedTask t, long sentAtMs) {
+        return switch (t.state) {
+            case RUNNING -> t.confirmedAtMs < sentAtMs;
+            case STOPPING -> t.stopAccepted && t.confirmedAtMs < sentAtMs;
+            default -> false;
+        };
+    }
+
+    private void restarted(LeasedEndpoint e, String why) {
+        board.warn("event=endpoint_" + why + " endpoint=" + e.entry.id() + " runs=" + e.runs.size());
+        e.lastSeen = 0;
+        e.incarnation = 0;
+        e.strays.clear();
+        e.heard = false;
+        e.holding = false;
+        e.forgetClock();
+        for (OwnedTask t : new ArrayList<>(e.runs.values())) {
+            listener.onGone(t, why);
+        }
+    }
+
+    private void stopStrays(LeasedEndpoint e) {
+        if (e.strays.isEmpty() || board.now - board.ownerSinceMs < STRAY_MS) {
+            return;
+        }
+        for (Map.Entry<RunId, Long> s : e.strays.entrySet()) {
+            if (board.now - s.getValue() >= STRAY_MS) {
+                s.setValue(board.now);
+                board.log("event=stop_stray run=" + s.getKey() + " endpoint=" + e.entry.id());
+                board.emit(new PoolEffect.Stop(e.entry, board.token, s.getKey()));
+            }
+        }
+    }
+
+    /** Returns whether every endpoint has told what runs there under the token in force. */
+    boolean isAllHeard() {
+        for (LeasedEndpoint e : board.endpoints.values()) {
+            if (!e.heard) {
+                return false;
+            }
+        }
+        return board.role == OwnerRole.OWNER && !board.endpoints.isEmpty();
+    }
+
+    /** Takes the ends that were listed for a job before it was handed over. */
+    Set<Integer> takeDone(String job) {
+        Set<Integer> done = strayDone.remove(job);
+        return done == null ? Set.of() : done;
+    }
+
+    /** Gives the runs of a job that an earlier owner started to the job. */
+    void adopt(OwnedJob job) {
+        for (LeasedEndpoint e : board.endpoints.values()) {
+            List<RunId> mine = new ArrayList<>();
+            for (RunId r : e.strays.keySet()) {
+                if (r.job().equals(job.spec.id())) {
+                    mine.add(r);
+                }
+            }
+            for (RunId r : mine) {
+                adopt(job, e, r);
+            }
+        }
+    }
+
+    private boolean adopt(OwnedJob job, LeasedEndpoint e, RunId run) {
+        if (run.task() >= job.tasks.size()) {
+            return false;
+        }
+        OwnedTask task = job.tasks.get(run.task());
+        if (task.state != OwnedTask.State.WAITING) {
+            return false;
+        }
+        e.strays.remove(run);
+        task.attempt = run.attempt();
+        job.set(task, OwnedTask.State.RUNNING);
+        job.everStarted = true;
+        task.startedAtMs = board.now;
+        task.confirmedAtMs = board.now;
+        e.add(task);
+        return true;
+    }
+}
--- /dev/null
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnedJob.java
@@ -0,0 +1,64 @@
+package org.gooseberrypier.internal.pool;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.gooseberrypier.pool.PoolJob;
+import org.gooseberrypier.pool.PoolMessage;
+import org.gooseberrypier.pool.VmContact;
+
+/** A job at the owner. */
+final class OwnedJob {
+
+    /** Leaves the attempts of an earlier owner below those of this one. */
+    static final int ATTEMPTS_PER_OWNER = 100;
+
+    final PoolJob spec;
+    final List<OwnedTask> tasks = new ArrayList<>();
+    /** Who waits for the job, and since when the link to it is down (0 if it is up). */
+    final Map<VmContact, Long> subscribers = new HashMap<>();
+
+    final long arrivedAtMs;
+    final boolean resumed;
+    boolean everStarted;
+    /** Whether the job has ended for its callers and only its runs are still being stopped. */
+    boolean ending;
+    /** Presented again while it was ending; begins anew when the last run is gone. */
+    PoolMessage.Present again;
+
+    VmContact againFrom;
+    int waiting;
+    int active;
+    int done;
+
+    OwnedJob(PoolJob spec, long arrivedAtMs, boolean resumed) {
+        this.spec = spec;
+        this.arrivedAtMs = arrivedAtMs;
+        this.resumed = resumed;
+        this.waiting = spec.tasks();
+        for (int i = 0; i < spec.tasks(); i++) {
+            tasks.add(new OwnedTask(this, i));
+        }
+    }
+
+    /** Moves a task to another state and keeps the counts. */
+    void set(OwnedTask task, OwnedTask.State state) {
+        count(task, -1);
+        task.state = state;
+        count(task, 1);
+    }
+
+    private void count(OwnedTask task, int by) {
+        switch (task.state) {
+            case WAITING -> waiting += by;
+            case DONE -> done += by;
+            default -> active += by;
+        }
+    }
+
+    boolean isBegun() {
+        return active + done > 0;
+    }
+}
--- /dev/null
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnedTask.java
@@ -0,0 +1,46 @@
+package org.gooseberrypier.internal.pool;
+
+import org.gooseberrypier.pool.RunId;
+
+/** One task of a job at the owner. */
+final class OwnedTask {
+
+    /** Where a task stands. */
+    enum State {
+        /** No run of it exists. */
+        WAITING,
+        /** A start was sent and not yet answered. */
+        STARTING,
+        /** Its run is known to be there. */
+        RUNNING,
+        /** A run may exist and is being stopped. */
+        STOPPING,
+        /** A run of it ended well. */
+        DONE
+    }
+
+    final OwnedJob job;
+    final int index;
+    State state = State.WAITING;
+    int attempt;
+    int failures;
+    LeasedEndpoint endpoint;
+    long startedAtMs;
+    long confirmedAtMs;
+    boolean stopAccepted;
+    long stopSentAtMs;
+    boolean overdue;
+
+    OwnedTask(OwnedJob job, int index) {
+        this.job = job;
+        this.index = index;
+    }
+
+    RunId run() {
+        return new RunId(job.spec.id(), index, attempt);
+    }
+
+    boolean isActive() {
+        return state != State.WAITING && state != State.DONE;
+    }
+}
--- /dev/null
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnershipController.java
@@ -0,0 +1,302 @@
+package org.gooseberrypier.internal.pool;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+import org.gooseberrypier.pool.ClaimResult;
+import org.gooseberrypier.pool.Ownership;
+import org.gooseberrypier.pool.PoolEffect;
+import org.gooseberrypier.pool.PoolEvent;
+import org.gooseberrypier.pool.PoolMessage;
+import org.gooseberrypier.pool.VmContact;
+
+/**
+ * Decides which VM owns the pool.
+ *
+ * <p>The newest record in the shared store names the owner, and its offset makes the fencing token. A VM that has lost the
+ * owner claims the next record. Where the store can not be reached either, one VM of each zone owns the endpoints of its
+ * zone under a token between two records, so that any later record supersedes it.
+ */
+final class OwnershipController {
+
+    /** An owner that sent nothing for this long is taken as lost; three heartbeats and the way. */
+    static final long OWNER_SILENT_MS = 500;
+
+    /** A closed link is opened again within this time if the owner lives, in milliseconds. */
+    private static final long RECONNECT_MS = 60;
+
+    /** Successors claim one after the other at this distance, which covers a claim's way to the store and back. */
+    private static final long SUCCESSION_STEP_MS = 40;
+
+    /** A claim without an answer is repeated after this time, in milliseconds. */
+    private static final long CLAIM_RETRY_MS = 250;
+
+    /** A zone goes on alone when it has had neither owner nor store for this long, in milliseconds. */
+    private static final long ZONE_ALONE_MS = 700;
+
+    /** A member of a zone that goes on alone tries the next candidate after this time, in milliseconds. */
+    private static final long CANDIDATE_MS = 200;
+
+    /** A VM that lost the store's answer for this long can not rely on it, in milliseconds. */
+    private static final long STORE_SILENT_MS = 600;
+
+    private static final int MAX_STEPS = 8;
+
+    private final PoolBoard board;
+    private List<VmContact> peers = List.of();
+    private long end = -1;
+    private long readAtMs = Long.MIN_VALUE / 2;
+    private long lostAtMs;
+    private boolean refused;
+    private long claimAtMs;
+    private boolean claiming;
+    private int candidate;
+    private long candidateAtMs;
+    private String followed = "";
+    private long heartbeatAtMs;
+    private int localTokens;
+
+    OwnershipController(PoolBoard board) {
+        this.board = board;
+        this.lostAtMs = board.now;
+    }
+
+    void onRead(PoolEvent.OwnershipRead event) {
+        readAtMs = board.now;
+        end = event.end();
+        Optional<Ownership> newest = event.newest();
+        boolean changed = newest.isPresent()
+                && (board.newest.isEmpty()
+                        || newest.get().offset() > board.newest.get().offset());
+        if (changed) {
+            board.newest = newest;
+            use(newest.get());
+        } else if (board.newest.isPresent()) {
+            reconcile(board.newest.get());
+        }
+    }
+
+    void onClaimEnded(PoolEvent.ClaimEnded event) {
+        claiming = false;
+        if (event.result() instanceof ClaimResult.Accepted a) {
+            Ownership mine = new Ownership(a.offset(), event.named());
+            if (board.newest.isEmpty() || board.newest.get().offset() < mine.offset()) {
+                board.newest = Optional.of(mine);
+                end = mine.offset() + 1;
+                use(mine);
+            }
+        } else {
+            board.log("event=claim_failed result=" + event.result().getClass().getSimpleName());
+            claimAtMs = board.now + CLAIM_RETRY_MS;
+            board.emit(new PoolEffect.ReadOwnership());
+        }
+    }
+
+    private void use(Ownership ownership) {
+        boolean mine = ownership.owner().equals(board.self());
+        board.log("event=owner_named token=" + ownership.token() + " owner="
+                + ownership.owner().address() + " mine=" + mine);
+        if (mine) {
+            become(OwnerRole.OWNER, ownership.token());
+        } else {
+            follow(ownership.owner().address());
+        }
+    }
+
+    /** Returns to the owner that the store names once the store answers again. */
+    private void reconcile(Ownership ownership) {
+        boolean mine = ownership.owner().equals(board.self());
+        if (board.role == OwnerRole.ZONE_OWNER) {
+            if (mine) {
+                claim();
+            } else {
+                follow(ownership.owner().address());
+            }
+        } else if (board.role == OwnerRole.OWNER && board.fenced) {
+            claim();
+        } else if (board.role == OwnerRole.FOLLOWER
+                && !mine
+                && !followed.equals(ownership.owner().address())
+                && !board.stopping) {
+            follow(ownership.owner().address());
+        }
+    }
+
+    private void become(OwnerRole role, long token) {
+        boolean was = board.isOwner();
+        board.role = role;
+        board.token = token;
+        board.ownerSinceMs = board.now;
+        board.linkedOwner = "";
+        board.fenced = false;
+        followed = "";
+        heartbeatAtMs = 0;
+        board.emit(new PoolEffect.LinkOwner(""));
+        if (!was) {
+            board.emit(new PoolEffect.FollowEndpoints(true));
+        }
+        board.log("event=owner_began role=" + role + " token=" + token);
+    }
+
+    private void follow(String address) {
+        if (board.isOwner()) {
+            board.log("event=owner_ended token=" + board.token + " successor=" + address);
+            board.emit(new PoolEffect.FollowEndpoints(false));
+        }
+        board.role = OwnerRole.FOLLOWER;
+        board.linkedOwner = "";
+        followed = address;
+        lostAtMs = board.now;
+        // An earlier life of this VM can not answer.
+        refused = address.equals(board.self().address());
+        board.emit(new PoolEffect.LinkOwner(refused ? "" : address));
+    }
+
+    void onLinkUp(PoolEvent.OwnerLinkUp event) {
+        if (event.peer().equals(followed) && !board.isOwner()) {
+            board.linkedOwner = followed;
+            board.log("event=owner_linked owner=" + followed);
+        }
+    }
+
+    void onLinkDown(PoolEvent.OwnerLinkDown event) {
+        if (!event.peer().equals(followed) || board.isOwner()) {
+            return;
+        }
+        if (!board.linkedOwner.isEmpty()) {
+            lostAtMs = board.now;
+            board.linkedOwner = "";
+            board.warn("event=owner_lost owner=" + followed);
+        }
+        refused = event.refused();
+    }
+
+    void onFromOwner(PoolMessage.ToEntry message) {
+        if (message instanceof PoolMessage.Heartbeat h && !h.peers().isEmpty()) {
+            peers = h.peers();
+        } else if (message instanceof PoolMessage.NotOwner) {
+            board.linkedOwner = "";
+            board.emit(new PoolEffect.ReadOwnership());
+        }
+    }
+
+    /** An endpoint refused the token: either a newer owner is named, or a zone went on alone in between. */
+    void onFenced() {
+        if (!board.fenced) {
+            board.fenced = true;
+            board.warn("event=token_refused token=" + board.token);
+            board.emit(new PoolEffect.ReadOwnership());
+        }
+    }
+
+    /** Names the first successor, so that it can go on at once. */
+    void handOver(List<VmContact> successors) {
+        board.stopping = true;
+        if (board.role == OwnerRole.OWNER && !successors.isEmpty() && end >= 0) {
+            board.log("event=hand_over successor=" + successors.get(0).address());
+            board.emit(new PoolEffect.Claim(end, successors.get(0)));
+        }
+    }
+
+    void onTick(List<VmContact> attached) {
+        if (board.isOwner()) {
+            return;
+        }
+        if (!board.linkedOwner.isEmpty()) {
+            lostAtMs = board.now;
+            return;
+        }
+        long lostMs = board.now - lostAtMs;
+        boolean storeAnswers = board.now - readAtMs < STORE_SILENT_MS;
+        if (storeAnswers) {
+            if (lostMs >= patienceMs()) {
+                claim();
+            }
+        } else if (lostMs >= ZONE_ALONE_MS) {
+            goOnAlone();
+        }
+    }
+
+    private long patienceMs() {
+        if (board.newest.isEmpty()) {
+            return (Math.floorMod(board.self().incarnation(), MAX_STEPS)) * SUCCESSION_STEP_MS;
+        }
+        long base = refused ? 0 : RECONNECT_MS;
+        boolean known = peers.stream().anyMatch(p -> p.address().equals(followed));
+        if (!known && !refused) {
+            base = OWNER_SILENT_MS;
+        }
+        return base + rank() * SUCCESSION_STEP_MS;
+    }
+
+    private int rank() {
+        int rank = 0;
+        for (VmContact p : peers) {
+            if (p.address().equals(board.self().address())) {
+                return rank;
+            }
+            if (!p.address().equals(followed)) {
+                rank = Math.min(MAX_STEPS, rank + 1);
+            }
+        }
+        return rank;
+    }
+
+    private void claim() {
+        if (claiming || board.stopping || board.now < claimAtMs || end < 0) {
+            return;
+        }
+        claiming = true;
+        claimAtMs = board.now + CLAIM_RETRY_MS;
+        board.log("event=claim offset=" + end + " lost_ms=" + (board.now - lostAtMs) + " store_age_ms="
+                + (board.now - readAtMs));
+        board.emit(new PoolEffect.Claim(end, board.self()));
+    }
+
+    /** Follows the first VM of the zone that answers, or owns the zone if that is this VM. */
+    private void goOnAlone() {
+        if (board.now < candidateAtMs || board.stopping || board.newest.isEmpty()) {
+            return;
+        }
+        candidateAtMs = board.now + CANDIDATE_MS;
+        List<VmContact> zone = zonePeers();
+        VmContact next = zone.get(candidate % zone.size());
+        candidate++;
+        if (next.address().equals(board.self().address())) {
+            candidate = 0;
+            localTokens++;
+            long base = Math.max(board.token, board.newest.get().token());
+            long step = 1 + Math.floorMod(board.self().incarnation(), 16) + 16L * localTokens;
+            become(OwnerRole.ZONE_OWNER, base + step);
+        } else {
+            followed = next.address();
+            board.emit(new PoolEffect.LinkOwner(followed));
+        }
+    }
+
+    private List<VmContact> zonePeers() {
+        List<VmContact> zone = new ArrayList<>();
+        String lost = board.newest.get().owner().address();
+        for (VmContact p : peers) {
+            if (p.zone().equals(board.self().zone())
+                    && !p.address().equals(board.self().address())
+                    && !p.address().equals(lost)) {
+                zone.add(p);
+            }
+        }
+        zone.add(board.self());
+        zone.sort(Comparator.comparing(VmContact::address));
+        return zone;
+    }
+
+    /** Returns whether a heartbeat is due, at most one for each period. */
+    boolean takeHeartbeat(long periodMs) {
+        if (board.now < heartbeatAtMs) {
+            return false;
+        }
+        heartbeatAtMs = board.now + periodMs;
+        return true;
+    }
+}
