Hold resumed jobs back until their earlier runs are surely gone; move slow runs; reload on SIGHUP

SIGHUP ended the process. A run counted as overdue while the owner itself was slow; now its progress on the endpoint's clock decides. The owner's loss was acted on 500 ms late, since the wait for a link that never was up applied to one that had been.

--- a/org.gooseberrypier.pgm/src/main/java/org/gooseberrypier/pgm/PlatformServeCommand.java
+++ b/org.gooseberrypier.pgm/src/main/java/org/gooseberrypier/pgm/PlatformServeCommand.java
@@ -9,11 +9,15 @@
 import com.beust.jcommander.Parameters;
 import org.gooseberrypier.platform.PlatformSettings;
 import org.gooseberrypier.platform.PlatformVm;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import sun.misc.Signal;
 
 /** Runs an entry VM on the users' platform until it has stopped; SIGTERM begins a graceful stop. */
 @Parameters(commandDescription = "Run an entry VM on the users' platform; SIGTERM stops it gracefully")
 final class PlatformServeCommand implements Command {
 
+    private static final Logger LOG = LoggerFactory.getLogger(PlatformServeCommand.class);
     private static final String SETTINGS_VARIABLE = "GOOSEBERRYPIER_CONFIG";
 
     @Parameter(
@@ -31,6 +35,7 @@
             System.err.println(file + ": " + e.getMessage());
             return ExitCode.USAGE;
         }
+        Signal.handle(new Signal("HUP"), signal -> reload(vm, file));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> vm.stop().join(), "graceful-stop"));
         try {
             vm.ended().join();
@@ -41,6 +46,14 @@
         }
     }
 
+    private static void reload(PlatformVm vm, Path file) {
+        try {
+            vm.reload(PlatformSettings.read(file));
+        } catch (IOException | IllegalArgumentException e) {
+            LOG.error("event=reload_failed file={} error=\"{}\"", file, e.getMessage());
+        }
+    }
+
     private static Path fromEnvironment() {
         String path = System.getenv(SETTINGS_VARIABLE);
         if (path == null || path.isEmpty()) {
--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/OwnerLink.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/OwnerLink.java
@@ -26,10 +26,10 @@
 final class OwnerLink {
 
     /** A link on which nothing arrived for this long is replaced, in milliseconds; three heartbeats and the way. */
-    static final long SILENT_MS = 500;
+    static final long SILENT_MS = 400;
 
     /** Distance of the messages that show that this end lives, in milliseconds. */
-    private static final long ALIVE_MS = 150;
+    private static final long ALIVE_MS = 100;
 
     private static final long RECONNECT_MS = 40;
     private static final int CONNECT_TIMEOUT_MS = 400;
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
@@ -50,10 +50,14 @@
     /** A stop without an answer is sent again after this time, in milliseconds. */
     private static final long STOP_RETRY_MS = 250;
 
-    /** A run that takes this many times its expected duration, and this much more, stands still. */
-    private static final double OVERDUE_FACTOR = 2.5;
+    /** A run's progress is judged over at least this time on the endpoint's clock, in milliseconds. */
+    private static final long MIN_WATCH_MS = 100;
 
-    private static final double OVERDUE_MS = 150;
+    /** What stopping a run and starting another takes, in milliseconds. */
+    private static final double RESTART_MS = 70;
+
+    /** A run is moved only if that is this many times as fast, since progress is reported in whole percents. */
+    private static final double SLOW_FACTOR = 1.5;
 
     private static final long MIN_RETRY_AFTER_MS = 500;
 
@@ -103,7 +107,7 @@
 
     private void admit(VmContact from, PoolMessage.Present p) {
         PoolJob spec = p.job();
-        OwnedJob job = new OwnedJob(spec, board.now - p.ageMs(), p.isResumed());
+        OwnedJob job = new OwnedJob(spec, board.now - p.ageMs(), p.isResumed(), board.now);
         if (!p.isResumed() && board.jobs.size() >= MAX_JOBS) {
             refuse(from, spec, "queue full");
             return;
@@ -253,19 +257,51 @@
         if (t.endpoint != null) {
             t.endpoint.remove(t);
         }
-        t.overdue = false;
+        t.listedClockMs = 0;
+        t.percentAtListing = -1;
         t.job.set(t, next);
         board.placementDue = true;
     }
 
     @Override
-    public void onRunning(OwnedTask t) {
+    public void onRunning(OwnedTask t, int percent, long clockMs) {
+        confirm(t);
+        if (t.listedClockMs == 0) {
+            t.listedClockMs = clockMs;
+        } else if (t.state == OwnedTask.State.RUNNING && !t.job.ending && t.percentAtListing >= 0) {
+            moveIfSlow(t, percent, clockMs);
+        }
+        if (t.percentAtListing < 0) {
+            t.percentAtListing = percent;
+        }
+    }
+
+    private void confirm(OwnedTask t) {
         if (t.state == OwnedTask.State.STARTING) {
             t.job.set(t, OwnedTask.State.RUNNING);
             t.confirmedAtMs = board.now;
         }
     }
 
+    /** Stops a run that would end later here than if it began anew elsewhere. Load pattern: slow and hanging endpoints. */
+    private void moveIfSlow(OwnedTask t, int percent, long clockMs) {
+        long sinceMs = clockMs - t.listedClockMs;
+        if (sinceMs < MIN_WATCH_MS) {
+            return;
+        }
+        int gained = Math.max(0, percent - t.percentAtListing);
+        double leftMs = gained == 0 ? Double.MAX_VALUE : sinceMs * (100.0 - percent) / gained;
+        double anewMs = durations.bestMs(t.job.spec) + RESTART_MS;
+        if (leftMs > SLOW_FACTOR * anewMs) {
+            LeasedEndpoint e = t.endpoint;
+            e.suspicion = Math.min(MAX_SUSPICION, e.suspicion + 1);
+            e.avoidUntilMs = Math.max(e.avoidUntilMs, board.now + AVOID_FAILING_MS * e.suspicion);
+            board.log("event=run_slow run=" + t.run() + " endpoint=" + e.entry.id() + " watched_ms=" + sinceMs
+                    + " gained_percent=" + gained + " suspicion=" + e.suspicion);
+            stop(t);
+        }
+    }
+
     @Override
     public void onEnd(OwnedTask t, RunEnd.Cause cause) {
         LeasedEndpoint e = t.endpoint;
@@ -366,7 +402,7 @@
         LeasedEndpoint e = t.endpoint;
         switch (event.result()) {
             case STARTED -> {
-                onRunning(t);
+                confirm(t);
             }
             case UNANSWERED -> {
                 if (t.state == OwnedTask.State.STARTING) {
@@ -437,21 +473,9 @@
         if (t.state == OwnedTask.State.STOPPING && !t.stopAccepted && board.now - t.stopSentAtMs >= STOP_RETRY_MS) {
             t.stopSentAtMs = board.now;
             board.emit(new PoolEffect.Stop(t.endpoint.entry, board.token, t.run()));
-        } else if (t.state == OwnedTask.State.RUNNING && isOverdue(t)) {
-            LeasedEndpoint e = t.endpoint;
-            e.suspicion = Math.min(MAX_SUSPICION, e.suspicion + 1);
-            e.avoidUntilMs = Math.max(e.avoidUntilMs, board.now + AVOID_FAILING_MS * e.suspicion);
-            board.log("event=run_overdue run=" + t.run() + " endpoint=" + e.entry.id() + " age_ms="
-                    + (board.now - t.startedAtMs) + " suspicion=" + e.suspicion);
-            stop(t);
         }
     }
 
-    private boolean isOverdue(OwnedTask t) {
-        double expected = durations.expectMs(t.job.spec, t.endpoint);
-        return !t.job.ending && board.now - t.startedAtMs > OVERDUE_FACTOR * expected + OVERDUE_MS;
-    }
-
     private void expireKept() {
         Iterator<Kept> i = kept.values().iterator();
         while (i.hasNext() && i.next().untilMs() <= board.now) {
@@ -475,10 +499,11 @@
     /** Starts what can be started now. */
     void place() {
         board.placementDue = false;
-        boolean earlierGone = leases.isAllHeard() || board.now - board.ownerSinceMs >= EARLIER_RUNS_MS;
+        boolean allHeard = leases.isAllHeard();
         List<OwnedJob> waiting = new ArrayList<>();
         for (OwnedJob j : board.jobs.values()) {
-            if (j.waiting > 0 && !j.ending && (earlierGone || !j.resumed)) {
+            boolean earlierGone = !j.resumed || allHeard || board.now - j.handedOverAtMs >= EARLIER_RUNS_MS;
+            if (j.waiting > 0 && !j.ending && earlierGone) {
                 waiting.add(j);
             }
         }
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseController.java
@@ -44,8 +44,13 @@
     /** Hears what becomes of runs. */
     interface RunListener {
 
-        /** A run was seen running. */
-        void onRunning(OwnedTask task);
+        /**
+         * A run was listed as running.
+         *
+         * @param percent how much of its work is done, 0 to 100
+         * @param clockMs the endpoint's clock when it listed the run, in milliseconds
+         */
+        void onRunning(OwnedTask task, int percent, long clockMs);
 
         /** A run has ended as its endpoint says. */
         void onEnd(OwnedTask task, RunEnd.Cause cause);
@@ -142,7 +147,7 @@
         if (!e.registered && e.runs.isEmpty() && e.strays.isEmpty()) {
             return;
         }
-        long deadline = e.isClockKnown() ? e.extend(board.now, LEASE_MS) : PoolEffect.NO_DEADLINE;
+        long deadline = e.isClockKnown() ? e.extend(board.now, LEASE_MS) : PoolEffect.Hold.NO_DEADLINE;
         long wait = e.heard && !e.fenced ? HOLD_WAIT_MS : 0;
         e.holding = true;
         board.emit(new PoolEffect.Hold(e.entry, board.token, board.now, e.lastSeen, deadline, wait));
@@ -195,7 +200,9 @@
                 restarted(e, "restarted");
                 e.nextHoldAtMs = board.now;
             }
-            default -> e.nextHoldAtMs = board.now + HOLD_RETRY_MS;
+            default -> {
+                e.nextHoldAtMs = board.now + HOLD_RETRY_MS;
+            }
         }
     }
 
@@ -215,7 +222,7 @@
                 ended(e, end);
             }
         }
-        compare(e, hold, new HashSet<>(h.running()));
+        compare(e, hold, h);
         if (!e.heard) {
             e.heard = true;
             board.placementDue = true;
@@ -238,17 +245,19 @@
     }
 
     /** Compares what the endpoint lists as running with what is known. */
-    private void compare(LeasedEndpoint e, PoolEffect.Hold hold, Set<RunId> running) {
+    private void compare(LeasedEndpoint e, PoolEffect.Hold hold, HoldResult.Held h) {
+        Map<RunId, Integer> running = new HashMap<>();
+        h.running().forEach(r -> running.put(r.run(), r.percent()));
         for (OwnedTask t : new ArrayList<>(e.runs.values())) {
-            boolean listed = running.remove(t.run());
-            if (listed) {
-                listener.onRunning(t);
+            Integer percent = running.remove(t.run());
+            if (percent != null) {
+                listener.onRunning(t, percent, h.clockMs());
             } else if (isSurelyAnswered(t, hold.sentAtMs())) {
                 listener.onGone(t, "not listed");
             }
         }
-        e.strays.keySet().retainAll(running);
-        for (RunId r : running) {
+        e.strays.keySet().retainAll(running.keySet());
+        for (RunId r : running.keySet()) {
             OwnedJob job = board.jobs.get(r.job());
             if (job == null || job.ending || !adopt(job, e, r)) {
                 e.strays.putIfAbsent(r, board.now);
@@ -258,11 +267,14 @@
 
     /** Returns whether the order that concerned the run was answered before the list was asked for. */
     private static boolean isSurelyAnswered(OwnedTask t, long sentAtMs) {
-        return switch (t.state) {
-            case RUNNING -> t.confirmedAtMs < sentAtMs;
-            case STOPPING -> t.stopAccepted && t.confirmedAtMs < sentAtMs;
-            default -> false;
-        };
+        switch (t.state) {
+            case RUNNING:
+                return t.confirmedAtMs < sentAtMs;
+            case STOPPING:
+                return t.stopAccepted && t.confirmedAtMs < sentAtMs;
+            default:
+                return false;
+        }
     }
 
     private void restarted(LeasedEndpoint e, String why) {
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeasedEndpoint.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeasedEndpoint.java
@@ -38,7 +38,7 @@
 
     private boolean clockKnown;
     private long clockOffsetMs;
-    private long deadlineMs = PoolEffect.NO_DEADLINE;
+    private long deadlineMs = PoolEffect.Hold.NO_DEADLINE;
     private long usedMilliCores;
     private long usedMemoryMb;
 
@@ -59,7 +59,7 @@
 
     void forgetClock() {
         clockKnown = false;
-        deadlineMs = PoolEffect.NO_DEADLINE;
+        deadlineMs = PoolEffect.Hold.NO_DEADLINE;
     }
 
     /** Returns a deadline on the endpoint's clock and remembers that leases may last until then. */
@@ -71,7 +71,7 @@
 
     /** Returns whether every lease that this owner ever gave has surely lapsed. */
     boolean isLapsed(long now) {
-        if (deadlineMs == PoolEffect.NO_DEADLINE) {
+        if (deadlineMs == PoolEffect.Hold.NO_DEADLINE) {
             return true;
         }
         long drift = (long) (CLOCK_DRIFT * Math.max(0, now - heardAtMs));
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnedJob.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnedJob.java
@@ -22,6 +22,9 @@
 
     final long arrivedAtMs;
     final boolean resumed;
+    /** When an earlier owner's job was handed over; its unheard runs last no longer than a lease from then. */
+    final long handedOverAtMs;
+
     boolean everStarted;
     /** Whether the job has ended for its callers and only its runs are still being stopped. */
     boolean ending;
@@ -33,7 +36,8 @@
     int active;
     int done;
 
-    OwnedJob(PoolJob spec, long arrivedAtMs, boolean resumed) {
+    OwnedJob(PoolJob spec, long arrivedAtMs, boolean resumed, long now) {
+        this.handedOverAtMs = now;
         this.spec = spec;
         this.arrivedAtMs = arrivedAtMs;
         this.resumed = resumed;
@@ -51,10 +55,12 @@
     }
 
     private void count(OwnedTask task, int by) {
-        switch (task.state) {
-            case WAITING -> waiting += by;
-            case DONE -> done += by;
-            default -> active += by;
+        if (task.state == OwnedTask.State.WAITING) {
+            waiting += by;
+        } else if (task.state == OwnedTask.State.DONE) {
+            done += by;
+        } else {
+            active += by;
         }
     }
 
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnedTask.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnedTask.java
@@ -29,7 +29,10 @@
     long confirmedAtMs;
     boolean stopAccepted;
     long stopSentAtMs;
-    boolean overdue;
+    /** The endpoint's clock when it first listed the run, in milliseconds; 0 before. */
+    long listedClockMs;
+    /** Its progress then; -1 before. */
+    int percentAtListing = -1;
 
     OwnedTask(OwnedJob job, int index) {
         this.job = job;
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnershipController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnershipController.java
@@ -22,7 +22,7 @@
 final class OwnershipController {
 
     /** An owner that sent nothing for this long is taken as lost; three heartbeats and the way. */
-    static final long OWNER_SILENT_MS = 500;
+    private static final long OWNER_SILENT_MS = 400;
 
     /** A closed link is opened again within this time if the owner lives, in milliseconds. */
     private static final long RECONNECT_MS = 60;
@@ -50,6 +50,7 @@
     private long readAtMs = Long.MIN_VALUE / 2;
     private long lostAtMs;
     private boolean refused;
+    private boolean wasLinked;
     private long claimAtMs;
     private boolean claiming;
     private int candidate;
@@ -149,6 +150,7 @@
         board.linkedOwner = "";
         followed = address;
         lostAtMs = board.now;
+        wasLinked = false;
         // An earlier life of this VM can not answer.
         refused = address.equals(board.self().address());
         board.emit(new PoolEffect.LinkOwner(refused ? "" : address));
@@ -157,6 +159,7 @@
     void onLinkUp(PoolEvent.OwnerLinkUp event) {
         if (event.peer().equals(followed) && !board.isOwner()) {
             board.linkedOwner = followed;
+            wasLinked = true;
             board.log("event=owner_linked owner=" + followed);
         }
     }
@@ -223,12 +226,8 @@
         if (board.newest.isEmpty()) {
             return (Math.floorMod(board.self().incarnation(), MAX_STEPS)) * SUCCESSION_STEP_MS;
         }
-        long base = refused ? 0 : RECONNECT_MS;
-        boolean known = peers.stream().anyMatch(p -> p.address().equals(followed));
-        if (!known && !refused) {
-            base = OWNER_SILENT_MS;
-        }
-        return base + rank() * SUCCESSION_STEP_MS;
+        long base = wasLinked ? RECONNECT_MS : OWNER_SILENT_MS;
+        return (refused ? 0 : base) + rank() * SUCCESSION_STEP_MS;
     }
 
     private int rank() {
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
@@ -16,7 +16,7 @@
 public final class PoolEngine {
 
     /** Distance of the owner's heartbeats, in milliseconds. */
-    private static final long HEARTBEAT_MS = 150;
+    private static final long HEARTBEAT_MS = 100;
 
     private final PoolBoard board;
     private final OwnershipController ownership;
@@ -197,17 +197,30 @@
         }
     }
 
-    /** Returns whether this VM is the owner or has a link to it. */
+    /**
+     * Returns whether this VM is the owner or has a link to it.
+     *
+     * @return whether jobs can be handed over
+     */
     public boolean hasOwner() {
         return board.hasOwner();
     }
 
-    /** Returns whether this VM owns endpoints. */
+    /**
+     * Returns whether this VM owns endpoints.
+     *
+     * @return whether it does
+     */
     public boolean isOwner() {
         return board.isOwner();
     }
 
-    /** Returns how many jobs wait in a queue without a started task. */
+    /**
+     * Returns how many jobs wait in a queue without a started task.
+     *
+     * @param queue the queue
+     * @return jobs
+     */
     public int waiting(String queue) {
         return entry.waiting(queue);
     }
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/HoldResult.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/HoldResult.java
@@ -13,7 +13,7 @@
      * @param running what runs there
      * @param ends the ends that were not yet taken note of, in their order
      */
-    record Held(long clockMs, long incarnation, List<RunId> running, List<RunEnd> ends) implements HoldResult {
+    record Held(long clockMs, long incarnation, List<RunProgress> running, List<RunEnd> ends) implements HoldResult {
 
         /** Copies the lists. */
         public Held {
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/PoolEffect.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/PoolEffect.java
@@ -59,11 +59,15 @@
      * @param token the fencing token
      * @param sentAtMs when, on this VM's steady clock
      * @param lastSeen up to which end the endpoint may forget
-     * @param deadlineMs until when the leases last on the endpoint's clock, or {@link #NO_DEADLINE}
+     * @param deadlineMs until when the leases last on the endpoint's clock, or {@link Hold#NO_DEADLINE}
      * @param waitMs how long the endpoint may wait for an end before it answers
      */
     record Hold(PoolEndpoint endpoint, long token, long sentAtMs, long lastSeen, long deadlineMs, long waitMs)
-            implements PoolEffect {}
+            implements PoolEffect {
+
+        /** The deadline of a call that renews nothing. */
+        public static final long NO_DEADLINE = -1;
+    }
 
     /**
      * Starts a run.
@@ -94,7 +98,4 @@
      * @param text key=value pairs
      */
     record Log(boolean warning, String text) implements PoolEffect {}
-
-    /** The deadline of a {@link Hold} that renews nothing. */
-    long NO_DEADLINE = -1;
 }
