--- a/org.gooseberrypier.http/src/main/java/org/gooseberrypier/http/HttpClientConnection.java
+++ b/org.gooseberrypier.http/src/main/java/org/gooseberrypier/http/HttpClientConnection.java
@@ -82,7 +82,9 @@
         for (Map.Entry<String, String> h : spec.headers().entrySet()) {
             request.headers().set(h.getKey(), h.getValue());
         }
-        request.headers().set(HttpHeaderNames.HOST, pool.address().toString());
+        if (!request.headers().contains(HttpHeaderNames.HOST)) {
+            request.headers().set(HttpHeaderNames.HOST, pool.address().toString());
+        }
         request.headers().set(HttpHeaderNames.CONTENT_LENGTH, spec.body().length);
         return request;
     }
--- /dev/null
+++ b/org.gooseberrypier.pgm/src/main/java/org/gooseberrypier/pgm/PlatformRehearseCommand.java
@@ -0,0 +1,58 @@
+package org.gooseberrypier.pgm;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import org.gooseberrypier.http.HttpReply;
+import org.gooseberrypier.platform.standin.Rehearsal;
+
+/** Runs a small deployment of the users' platform in this process, with stand-ins, and submits jobs to it. */
+@Parameters(commandDescription = "Run VMs and stand-ins of the users' platform in this process and submit jobs")
+final class PlatformRehearseCommand implements Command {
+
+    private static final int OK = 200;
+
+    @Parameter(names = "--vms", description = "how many VMs")
+    private int vms = 2;
+
+    @Parameter(names = "--endpoints", description = "how many endpoints")
+    private int endpoints = 4;
+
+    @Parameter(names = "--jobs", description = "how many jobs")
+    private int jobs = 40;
+
+    @Override
+    public int call() {
+        try (Rehearsal rehearsal = new Rehearsal(vms, endpoints)) {
+            for (int i = 0; i < vms; i++) {
+                rehearsal.awaitReady(i);
+            }
+            int completed = submit(rehearsal);
+            System.out.println("jobs=" + jobs + " completed=" + completed);
+            return completed == jobs ? ExitCode.OK : ExitCode.FAILED;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return ExitCode.FAILED;
+        }
+    }
+
+    private int submit(Rehearsal rehearsal) {
+        List<CompletableFuture<HttpReply>> replies = new ArrayList<>();
+        for (int i = 0; i < jobs; i++) {
+            replies.add(rehearsal.submit(i % vms, String.format("%016x", i), 1 + i % 2, 200));
+            if (i % 4 == 3) {
+                replies.forEach(r -> r.exceptionally(e -> null).join());
+            }
+        }
+        int completed = 0;
+        for (CompletableFuture<HttpReply> r : replies) {
+            boolean done = r.handle((reply, error) -> error == null && reply.status() == OK)
+                    .join();
+            completed += done ? 1 : 0;
+        }
+        return completed;
+    }
+}
