--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolVm.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolVm.java
@@ -258,7 +258,7 @@
         store.readEndpoints().whenComplete((list, error) -> {
             listing = false;
             if (error == null) {
-                ring.publish(new PoolEvent.EndpointsRead(list));
+                ring.publish(new PoolEvent.EndpointsRead(list, now));
             } else {
                 LOG.warn("event=endpoints_not_read error=\"{}\"", error.getMessage());
             }
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
@@ -499,14 +499,21 @@
     /** Starts what can be started now. */
     void place() {
         board.placementDue = false;
-        boolean allHeard = leases.isAllHeard();
+        long heardSinceMs = leases.allHeardSinceMs();
+        long latestHandoverMs = Long.MIN_VALUE;
         List<OwnedJob> waiting = new ArrayList<>();
         for (OwnedJob j : board.jobs.values()) {
-            boolean earlierGone = !j.resumed || allHeard || board.now - j.handedOverAtMs >= EARLIER_RUNS_MS;
-            if (j.waiting > 0 && !j.ending && earlierGone) {
+            if (j.waiting == 0 || j.ending) {
+                continue;
+            }
+            boolean heard = heardSinceMs >= j.handedOverAtMs;
+            if (!j.resumed || heard || board.now - j.handedOverAtMs >= EARLIER_RUNS_MS) {
                 waiting.add(j);
+            } else {
+                latestHandoverMs = Math.max(latestHandoverMs, j.handedOverAtMs);
             }
         }
+        leases.probe(latestHandoverMs);
         if (!waiting.isEmpty()) {
             planner.plan(waiting, board.endpoints.values(), board.now, this::start);
         }
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseController.java
@@ -39,6 +39,14 @@
 
     private final PoolBoard board;
     private final RunListener listener;
+    /** Endpoints that left the list count as possibly alive for this long, as entries lapse while the store is away. */
+    private static final long DEPARTED_MS = 5_000;
+
+    private final Map<String, Departed> departed = new HashMap<>();
+    private long listAskedAtMs = Long.MIN_VALUE;
+
+    private record Departed(PoolEndpoint endpoint, long sinceMs) {}
+
     private final Map<String, Set<Integer>> strayDone = new HashMap<>();
 
     /** Hears what becomes of runs. */
@@ -75,6 +83,13 @@
     }
 
     void onRead(PoolEvent.EndpointsRead event) {
+        Map<String, PoolEndpoint> listed = new HashMap<>();
+        event.endpoints().forEach(e -> listed.put(e.id(), e));
+        for (PoolEndpoint e : board.registered) {
+            departed.putIfAbsent(e.id(), new Departed(e, board.now));
+        }
+        departed.values().removeIf(d -> listed.containsKey(d.endpoint().id()) || board.now - d.sinceMs() > DEPARTED_MS);
+        listAskedAtMs = event.askedAtMs();
         board.registered = event.endpoints();
         if (board.isOwner()) {
             merge();
@@ -84,8 +99,7 @@
     private void merge() {
         Set<String> seen = new HashSet<>();
         for (PoolEndpoint e : board.registered) {
-            if (board.role == OwnerRole.ZONE_OWNER
-                    && !e.zone().equals(board.self().zone())) {
+            if (!isOwned(e)) {
                 continue;
             }
             seen.add(e.id());
@@ -106,7 +120,7 @@
         for (LeasedEndpoint e : new ArrayList<>(board.endpoints.values())) {
             if (!seen.contains(e.entry.id())) {
                 e.registered = false;
-                if (e.runs.isEmpty() && e.isLapsed(board.now)) {
+                if (e.runs.isEmpty() && e.isLapsed(board.now) && board.now > e.departedUntilMs) {
                     board.endpoints.remove(e.entry.id());
                 }
             }
@@ -114,15 +128,30 @@
         board.placementDue = true;
     }
 
+    private boolean isOwned(PoolEndpoint e) {
+        return board.role != OwnerRole.ZONE_OWNER
+                || e.zone().equals(board.self().zone());
+    }
+
     /** Begins to own: nothing is known about any endpoint until it has answered under the new token. */
     void begin() {
         strayDone.clear();
         for (LeasedEndpoint e : board.endpoints.values()) {
             e.heard = false;
             e.fenced = false;
+            e.confirmedSentAtMs = Long.MIN_VALUE;
             e.nextHoldAtMs = 0;
         }
         merge();
+        for (Departed d : departed.values()) {
+            if (!isOwned(d.endpoint())) {
+                continue;
+            }
+            LeasedEndpoint e = new LeasedEndpoint(d.endpoint());
+            e.registered = false;
+            e.departedUntilMs = board.now + DEPARTED_MS;
+            board.endpoints.putIfAbsent(d.endpoint().id(), e);
+        }
     }
 
     /** Forgets everything, as another VM owns the endpoints now. */
@@ -144,12 +173,26 @@
     }
 
     private void hold(LeasedEndpoint e) {
-        if (!e.registered && e.runs.isEmpty() && e.strays.isEmpty()) {
+        boolean idle = e.runs.isEmpty() && e.strays.isEmpty();
+        if (!e.registered && idle && board.now > e.departedUntilMs) {
             return;
         }
-        long deadline = e.isClockKnown() ? e.extend(board.now, LEASE_MS) : PoolEffect.Hold.NO_DEADLINE;
-        long wait = e.heard && !e.fenced ? HOLD_WAIT_MS : 0;
         e.holding = true;
+        hold(e, e.heard && !e.fenced ? HOLD_WAIT_MS : 0);
+    }
+
+    /** Asks every endpoint now that has not answered since a job of an earlier owner was handed over. */
+    void probe(long handedOverAtMs) {
+        for (LeasedEndpoint e : board.endpoints.values()) {
+            if (e.confirmedSentAtMs < handedOverAtMs && e.heard && !e.probing && !e.fenced) {
+                e.probing = true;
+                hold(e, 0);
+            }
+        }
+    }
+
+    private void hold(LeasedEndpoint e, long wait) {
+        long deadline = e.isClockKnown() ? e.extend(board.now, LEASE_MS) : PoolEffect.Hold.NO_DEADLINE;
         board.emit(new PoolEffect.Hold(e.entry, board.token, board.now, e.lastSeen, deadline, wait));
     }
 
@@ -168,7 +211,12 @@
         if (e == null || !e.entry.address().equals(hold.endpoint().address())) {
             return;
         }
-        e.holding = false;
+        boolean probe = e.probing && hold.waitMs() == 0;
+        if (probe) {
+            e.probing = false;
+        } else {
+            e.holding = false;
+        }
         if (hold.token() != board.token) {
             e.nextHoldAtMs = board.now;
         } else if (event.result() instanceof HoldResult.Held h) {
@@ -211,6 +259,7 @@
             restarted(e, "restarted");
         }
         e.incarnation = h.incarnation();
+        e.confirmedSentAtMs = Math.max(e.confirmedSentAtMs, hold.sentAtMs());
         e.setClock(h.clockMs(), board.now);
         if (e.unanswered > 0) {
             board.log("event=endpoint_back endpoint=" + e.entry.id() + " unanswered=" + e.unanswered);
@@ -284,6 +333,8 @@
         e.strays.clear();
         e.heard = false;
         e.holding = false;
+        e.probing = false;
+        e.confirmedSentAtMs = Long.MIN_VALUE;
         e.forgetClock();
         for (OwnedTask t : new ArrayList<>(e.runs.values())) {
             listener.onGone(t, why);
@@ -303,14 +354,19 @@
         }
     }
 
-    /** Returns whether every endpoint has told what runs there under the token in force. */
-    boolean isAllHeard() {
+    /**
+     * Returns until when a handover may have happened so that every endpoint has told since, under the token in force,
+     * what runs there.
+     */
+    long allHeardSinceMs() {
+        if (board.role != OwnerRole.OWNER || listAskedAtMs < board.ownerSinceMs) {
+            return Long.MIN_VALUE;
+        }
+        long since = Long.MAX_VALUE;
         for (LeasedEndpoint e : board.endpoints.values()) {
-            if (!e.heard) {
-                return false;
-            }
+            since = Math.min(since, e.heard ? e.confirmedSentAtMs : Long.MIN_VALUE);
         }
-        return board.role == OwnerRole.OWNER && !board.endpoints.isEmpty();
+        return since;
     }
 
     /** Takes the ends that were listed for a job before it was handed over. */
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeasedEndpoint.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeasedEndpoint.java
@@ -18,6 +18,8 @@
 
     PoolEndpoint entry;
     boolean registered = true;
+    /** Until when it is asked what runs there although it is not registered, in milliseconds. */
+    long departedUntilMs;
     /** Whether the endpoint has answered under the token in force, so that all that runs there is known. */
     boolean heard;
     /** Whether the endpoint refused the token in force. */
@@ -26,6 +28,11 @@
     long incarnation;
     long lastSeen;
     boolean holding;
+    /** Whether a call that does not wait is open beside the one that does. */
+    boolean probing;
+    /** When the last call that was answered under the token in force had been sent. */
+    long confirmedSentAtMs = Long.MIN_VALUE;
+
     long nextHoldAtMs;
     int unanswered;
     long heardAtMs;
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnershipController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnershipController.java
@@ -21,8 +21,11 @@
  */
 final class OwnershipController {
 
-    /** An owner that sent nothing for this long is taken as lost; three heartbeats and the way. */
-    private static final long OWNER_SILENT_MS = 400;
+    /**
+     * An owner that this VM never reached has written its record not long ago, so it more likely lives beyond a partition
+     * than not; claiming sooner would let both sides take the pool from each other. In milliseconds, for most partitions.
+     */
+    private static final long UNREACHABLE_MS = 6_000;
 
     /** A closed link is opened again within this time if the owner lives, in milliseconds. */
     private static final long RECONNECT_MS = 60;
@@ -56,6 +59,7 @@
     private int candidate;
     private long candidateAtMs;
     private String followed = "";
+    private String zoneOwner = "";
     private long heartbeatAtMs;
     private int localTokens;
 
@@ -101,27 +105,23 @@
                 + ownership.owner().address() + " mine=" + mine);
         if (mine) {
             become(OwnerRole.OWNER, ownership.token());
-        } else {
+        } else if (board.role == OwnerRole.ZONE_OWNER) {
+            board.emit(new PoolEffect.LinkOwner(ownership.owner().address()));
+        } else if (!isWithZoneOwner()) {
             follow(ownership.owner().address());
         }
     }
 
-    /** Returns to the owner that the store names once the store answers again. */
+    private boolean isWithZoneOwner() {
+        return !board.linkedOwner.isEmpty() && zoneOwner.equals(board.linkedOwner);
+    }
+
+    /** Claims again where a token that no record stands for was in use. */
     private void reconcile(Ownership ownership) {
         boolean mine = ownership.owner().equals(board.self());
-        if (board.role == OwnerRole.ZONE_OWNER) {
-            if (mine) {
-                claim();
-            } else {
-                follow(ownership.owner().address());
-            }
-        } else if (board.role == OwnerRole.OWNER && board.fenced) {
+        boolean superseded = board.role == OwnerRole.OWNER && board.fenced;
+        if (superseded || mine && board.role == OwnerRole.ZONE_OWNER) {
             claim();
-        } else if (board.role == OwnerRole.FOLLOWER
-                && !mine
-                && !followed.equals(ownership.owner().address())
-                && !board.stopping) {
-            follow(ownership.owner().address());
         }
     }
 
@@ -133,14 +133,23 @@
         board.linkedOwner = "";
         board.fenced = false;
         followed = "";
+        zoneOwner = "";
         heartbeatAtMs = 0;
-        board.emit(new PoolEffect.LinkOwner(""));
+        // The owner of a zone goes on trying to reach the owner of the pool.
+        String above = role == OwnerRole.ZONE_OWNER ? ownerAddress() : "";
+        board.emit(new PoolEffect.LinkOwner(above));
         if (!was) {
             board.emit(new PoolEffect.FollowEndpoints(true));
         }
         board.log("event=owner_began role=" + role + " token=" + token);
     }
 
+    /** Returns the address of the owner that the store names, or an empty text if that is an earlier life of this VM. */
+    private String ownerAddress() {
+        String address = board.newest.map(o -> o.owner().address()).orElse("");
+        return address.equals(board.self().address()) ? "" : address;
+    }
+
     private void follow(String address) {
         if (board.isOwner()) {
             board.log("event=owner_ended token=" + board.token + " successor=" + address);
@@ -157,6 +166,12 @@
     }
 
     void onLinkUp(PoolEvent.OwnerLinkUp event) {
+        if (board.role == OwnerRole.ZONE_OWNER && event.peer().equals(ownerAddress())) {
+            board.log("event=owner_ended token=" + board.token + " successor=" + event.peer());
+            board.emit(new PoolEffect.FollowEndpoints(false));
+            board.role = OwnerRole.FOLLOWER;
+            followed = event.peer();
+        }
         if (event.peer().equals(followed) && !board.isOwner()) {
             board.linkedOwner = followed;
             wasLinked = true;
@@ -172,6 +187,11 @@
             lostAtMs = board.now;
             board.linkedOwner = "";
             board.warn("event=owner_lost owner=" + followed);
+            if (followed.equals(zoneOwner)) {
+                zoneOwner = "";
+                board.newest.ifPresent(o -> follow(o.owner().address()));
+                return;
+            }
         }
         refused = event.refused();
     }
@@ -181,6 +201,8 @@
             peers = h.peers();
         } else if (message instanceof PoolMessage.NotOwner) {
             board.linkedOwner = "";
+            zoneOwner = "";
+            board.newest.ifPresent(o -> follow(o.owner().address()));
             board.emit(new PoolEffect.ReadOwnership());
         }
     }
@@ -213,10 +235,8 @@
         }
         long lostMs = board.now - lostAtMs;
         boolean storeAnswers = board.now - readAtMs < STORE_SILENT_MS;
-        if (storeAnswers) {
-            if (lostMs >= patienceMs()) {
-                claim();
-            }
+        if (storeAnswers && lostMs >= patienceMs()) {
+            claim();
         } else if (lostMs >= ZONE_ALONE_MS) {
             goOnAlone();
         }
@@ -226,7 +246,7 @@
         if (board.newest.isEmpty()) {
             return (Math.floorMod(board.self().incarnation(), MAX_STEPS)) * SUCCESSION_STEP_MS;
         }
-        long base = wasLinked ? RECONNECT_MS : OWNER_SILENT_MS;
+        long base = wasLinked ? RECONNECT_MS : UNREACHABLE_MS;
         return (refused ? 0 : base) + rank() * SUCCESSION_STEP_MS;
     }
 
@@ -271,6 +291,7 @@
             become(OwnerRole.ZONE_OWNER, base + step);
         } else {
             followed = next.address();
+            zoneOwner = followed;
             board.emit(new PoolEffect.LinkOwner(followed));
         }
     }
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
@@ -182,6 +182,9 @@
             jobs.leases().begin();
         } else if (!board.isOwner() && wasOwner) {
             wasOwner = false;
+            for (VmContact vm : attached) {
+                board.sendEntry(vm, new PoolMessage.NotOwner(board.token));
+            }
             jobs.leases().end();
             jobs.end();
         }
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/PoolEvent.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/PoolEvent.java
@@ -96,8 +96,9 @@
      * The endpoints were read from the shared store.
      *
      * @param endpoints all that are registered
+     * @param askedAtMs when the store was asked, on this VM's steady clock
      */
-    record EndpointsRead(List<PoolEndpoint> endpoints) implements PoolEvent {
+    record EndpointsRead(List<PoolEndpoint> endpoints, long askedAtMs) implements PoolEvent {
 
         /** Copies the list. */
         public EndpointsRead {
--- /dev/null
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolSimulation.java
@@ -0,0 +1,398 @@
+package org.gooseberrypier.pool;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+
+/** Several VMs, endpoints, a store and callers under virtual time, with faults; it checks what must always hold. */
+final class PoolSimulation {
+
+    private static final long SILENT_MS = 400;
+    private static final long CALL_TIMEOUT_MS = 300;
+    private static final long RESEND_MS = 1_300;
+    private static final long ENDPOINT_STEP_MS = 5;
+
+    final Random random;
+    final List<SimulatedVm> vms = new ArrayList<>();
+    final List<SimulatedEndpoint> endpoints = new ArrayList<>();
+    final Map<String, Caller> callers = new HashMap<>();
+    final List<String> violations = new ArrayList<>();
+    final Set<String> cuts = new HashSet<>();
+    boolean storeDown;
+    double lostAnswers;
+    double lateOrders;
+    private final PriorityQueue<Step> steps =
+            new PriorityQueue<>(Comparator.comparingLong(Step::atMs).thenComparingLong(Step::order));
+    private final List<VmContact> ownership = new ArrayList<>();
+    private final Map<Long, Caller> calls = new HashMap<>();
+    private final Set<String> begun = new HashSet<>();
+    private long now;
+    private long order;
+    private long lastCall;
+    private long incarnations;
+
+    private record Step(long atMs, long order, Runnable action) {}
+
+    /** A caller that waits for one job and sends it again when its VM is lost. */
+    static final class Caller {
+        final PoolJob job;
+        final List<JobOutcome> answers = new ArrayList<>();
+        long call;
+        int vm;
+        long life;
+        boolean waiting;
+        int attempts;
+
+        Caller(PoolJob job) {
+            this.job = job;
+        }
+
+        boolean isAnswered() {
+            return !answers.isEmpty() && !(answers.get(answers.size() - 1) instanceof JobOutcome.Unknown) && !waiting;
+        }
+    }
+
+    PoolSimulation(long seed, int vmCount, int endpointCount) {
+        random = new Random(seed);
+        for (int i = 0; i < vmCount; i++) {
+            vms.add(new SimulatedVm(this, i));
+        }
+        for (int i = 0; i < endpointCount; i++) {
+            endpoints.add(new SimulatedEndpoint(this, "endpoint-" + i, "zone-" + i % 3, random.nextInt(100_000)));
+        }
+        advanceEndpoints();
+    }
+
+    long nowMs() {
+        return now;
+    }
+
+    /** Keeps a line on the world beside those of the VMs. */
+    void note(String line) {
+        vms.get(0).keep("owner's world: " + line);
+    }
+
+    void after(long ms, Runnable action) {
+        steps.add(new Step(now + ms, order++, action));
+    }
+
+    void runUntil(long endMs) {
+        while (!steps.isEmpty() && steps.peek().atMs() <= endMs) {
+            Step s = steps.poll();
+            now = s.atMs();
+            s.action().run();
+        }
+        now = endMs;
+    }
+
+    private void advanceEndpoints() {
+        endpoints.stream().filter(e -> e.alive).forEach(SimulatedEndpoint::advance);
+        after(ENDPOINT_STEP_MS, this::advanceEndpoints);
+    }
+
+    void startAll() {
+        vms.forEach(this::start);
+    }
+
+    void start(SimulatedVm vm) {
+        vm.start(++incarnations);
+    }
+
+    void kill(SimulatedVm vm) {
+        vm.kill();
+        for (SimulatedVm other : vms) {
+            if (other.alive && other.linkTarget.equals(vm.contact.address()) && other.linked) {
+                other.linked = false;
+                deliver(other, 2, new PoolEvent.OwnerLinkDown(vm.contact.address(), false));
+                reconnectLater(other, other.life(), vm.contact.address());
+            }
+            if (other.alive) {
+                deliver(other, 2, new PoolEvent.EntryDetached(vm.contact));
+            }
+        }
+        for (Caller c : callers.values()) {
+            if (c.waiting && c.vm == vm.index) {
+                c.waiting = false;
+                after(RESEND_MS, () -> send(c));
+            }
+        }
+    }
+
+    Caller submit(PoolJob job) {
+        Caller c = new Caller(job);
+        callers.put(job.id(), c);
+        send(c);
+        return c;
+    }
+
+    private void send(Caller c) {
+        List<SimulatedVm> alive = vms.stream().filter(v -> v.alive).toList();
+        if (alive.isEmpty()) {
+            after(RESEND_MS, () -> send(c));
+            return;
+        }
+        SimulatedVm vm = alive.get(random.nextInt(alive.size()));
+        c.call = ++lastCall;
+        c.attempts++;
+        c.vm = vm.index;
+        c.life = vm.life();
+        c.waiting = true;
+        calls.put(c.call, c);
+        deliver(vm, 3, new PoolEvent.Submitted(c.call, c.job));
+    }
+
+    boolean isCut(String a, String b) {
+        return cuts.contains(a + "|" + b) || cuts.contains(b + "|" + a);
+    }
+
+    private void deliver(SimulatedVm vm, long ms, PoolEvent event) {
+        long life = vm.life();
+        after(ms, () -> vm.deliver(life, event));
+    }
+
+    /** Reads the ownership and the endpoints again and again, as a VM does. */
+    void follow(SimulatedVm vm, long life) {
+        if (!vm.isLife(life)) {
+            return;
+        }
+        if (!vm.frozen) {
+            readOwnership(vm);
+            readEndpoints(vm);
+        }
+        after(300, () -> follow(vm, life));
+    }
+
+    private boolean storeAnswers(SimulatedVm vm) {
+        return !storeDown && !isCut(vm.contact.address(), "store");
+    }
+
+    private void readOwnership(SimulatedVm vm) {
+        if (storeAnswers(vm)) {
+            int end = ownership.size();
+            Optional<Ownership> newest =
+                    end == 0 ? Optional.empty() : Optional.of(new Ownership(end - 1, ownership.get(end - 1)));
+            deliver(vm, 4, new PoolEvent.OwnershipRead(end, newest));
+        }
+    }
+
+    private void readEndpoints(SimulatedVm vm) {
+        if (storeAnswers(vm)) {
+            List<PoolEndpoint> list =
+                    endpoints.stream().filter(e -> e.alive).map(e -> e.entry).toList();
+            deliver(vm, 4, new PoolEvent.EndpointsRead(list, vm.clockMs()));
+        }
+    }
+
+    void perform(SimulatedVm vm, PoolEffect effect) {
+        if (effect instanceof PoolEffect.Log l) {
+            vm.keep(l.text());
+        } else if (effect instanceof PoolEffect.Answer a) {
+            answer(vm, a);
+        } else if (effect instanceof PoolEffect.Claim c) {
+            claim(vm, c);
+        } else if (effect instanceof PoolEffect.FollowEndpoints) {
+            readEndpoints(vm);
+        } else if (effect instanceof PoolEffect.ReadOwnership) {
+            readOwnership(vm);
+        } else if (effect instanceof PoolEffect.LinkOwner l) {
+            link(vm, l.peer());
+        } else if (effect instanceof PoolEffect.SendOwner s) {
+            sendOwner(vm, s.message());
+        } else if (effect instanceof PoolEffect.SendEntry s) {
+            sendEntry(vm, s);
+        } else if (effect instanceof PoolEffect.Hold h) {
+            hold(vm, h);
+        } else if (effect instanceof PoolEffect.Start s) {
+            start(vm, s);
+        } else if (effect instanceof PoolEffect.Stop s) {
+            stop(vm, s);
+        }
+    }
+
+    private void answer(SimulatedVm vm, PoolEffect.Answer a) {
+        Caller c = calls.remove(a.call());
+        if (c == null || !c.waiting || c.call != a.call()) {
+            return;
+        }
+        vm.keep("answered " + a.job() + " " + a.outcome());
+        c.waiting = false;
+        c.answers.add(a.outcome());
+        if (a.outcome() instanceof JobOutcome.Unknown) {
+            after(RESEND_MS, () -> send(c));
+        } else if (a.outcome() instanceof JobOutcome.Refused && c.attempts == 1 && begun.contains(a.job())) {
+            violations.add(now + " refused after a start: " + a.job());
+        }
+    }
+
+    private void claim(SimulatedVm vm, PoolEffect.Claim c) {
+        if (!storeAnswers(vm)) {
+            deliver(vm, 600, new PoolEvent.ClaimEnded(c.owner(), new ClaimResult.Unanswered()));
+            return;
+        }
+        boolean accepted = ownership.size() == c.expectedEnd();
+        if (accepted) {
+            ownership.add(c.owner());
+        }
+        boolean lost = random.nextDouble() < lostAnswers;
+        ClaimResult result = accepted ? new ClaimResult.Accepted(c.expectedEnd()) : new ClaimResult.Conflict();
+        deliver(vm, lost ? 600 : 5, new PoolEvent.ClaimEnded(c.owner(), lost ? new ClaimResult.Unanswered() : result));
+    }
+
+    private void link(SimulatedVm vm, String peer) {
+        if (vm.linked) {
+            unlink(vm);
+        }
+        vm.linkTarget = peer;
+        if (!peer.isEmpty()) {
+            connect(vm, vm.life(), peer);
+        }
+    }
+
+    private void unlink(SimulatedVm vm) {
+        vm.linked = false;
+        SimulatedVm peer = byAddress(vm.linkTarget);
+        if (peer.alive && !isCut(vm.contact.address(), vm.linkTarget)) {
+            deliver(peer, 2, new PoolEvent.EntryDetached(vm.contact));
+        } else if (peer.alive) {
+            deliver(peer, SILENT_MS, new PoolEvent.EntryDetached(vm.contact));
+        }
+    }
+
+    private SimulatedVm byAddress(String address) {
+        return vms.get(Integer.parseInt(address.substring(3)));
+    }
+
+    private void connect(SimulatedVm vm, long life, String target) {
+        if (!vm.isLife(life) || !vm.linkTarget.equals(target) || vm.linked) {
+            return;
+        }
+        SimulatedVm peer = byAddress(target);
+        boolean cut = isCut(vm.contact.address(), target);
+        if (peer.alive && !cut && !peer.frozen && !vm.frozen) {
+            vm.linked = true;
+            deliver(peer, 1, new PoolEvent.EntryAttached(vm.contact));
+            deliver(vm, 2, new PoolEvent.OwnerLinkUp(target));
+            watch(vm, life, target, peer.life());
+        } else {
+            deliver(vm, peer.alive || cut ? SILENT_MS : 2, new PoolEvent.OwnerLinkDown(target, !peer.alive && !cut));
+            reconnectLater(vm, life, target);
+        }
+    }
+
+    private void reconnectLater(SimulatedVm vm, long life, String target) {
+        after(40, () -> connect(vm, life, target));
+    }
+
+    /** Loses a link on which nothing can pass for a while. */
+    private void watch(SimulatedVm vm, long life, String target, long peerLife) {
+        after(100, () -> {
+            SimulatedVm peer = byAddress(target);
+            if (!vm.isLife(life) || !vm.linked || !vm.linkTarget.equals(target) || !peer.isLife(peerLife)) {
+                return;
+            }
+            if (isCut(vm.contact.address(), target) || peer.frozen || vm.frozen) {
+                vm.linked = false;
+                deliver(vm, SILENT_MS, new PoolEvent.OwnerLinkDown(target, false));
+                deliver(peer, SILENT_MS, new PoolEvent.EntryDetached(vm.contact));
+                reconnectLater(vm, life, target);
+            } else {
+                watch(vm, life, target, peerLife);
+            }
+        });
+    }
+
+    private void sendOwner(SimulatedVm vm, PoolMessage.ToOwner message) {
+        if (vm.linked && !isCut(vm.contact.address(), vm.linkTarget)) {
+            deliver(byAddress(vm.linkTarget), 2, new PoolEvent.FromEntry(vm.contact, message));
+        }
+    }
+
+    private void sendEntry(SimulatedVm vm, PoolEffect.SendEntry s) {
+        SimulatedVm to = byAddress(s.vm().address());
+        boolean open = to.linked && to.linkTarget.equals(vm.contact.address()) && to.contact.equals(s.vm());
+        if (open && !isCut(vm.contact.address(), s.vm().address())) {
+            deliver(to, 2, new PoolEvent.FromOwner(vm.contact.address(), s.message()));
+        }
+    }
+
+    private Optional<SimulatedEndpoint> reach(SimulatedVm vm, String id) {
+        return endpoints.stream()
+                .filter(e -> e.id.equals(id) && e.alive && !isCut(vm.contact.address(), id))
+                .findFirst();
+    }
+
+    private void hold(SimulatedVm vm, PoolEffect.Hold h) {
+        long life = vm.life();
+        boolean lost = random.nextDouble() < lostAnswers;
+        after(1, () -> {
+            Optional<SimulatedEndpoint> e = reach(vm, h.endpoint().id());
+            boolean[] replied = new boolean[1];
+            e.ifPresent(x -> x.hold(h, r -> {
+                if (!lost && !isCut(vm.contact.address(), x.id) && !replied[0]) {
+                    replied[0] = true;
+                    after(1, () -> vm.deliver(life, new PoolEvent.HoldEnded(h, r)));
+                }
+            }));
+            after(h.waitMs() + CALL_TIMEOUT_MS, () -> {
+                if (!replied[0]) {
+                    replied[0] = true;
+                    vm.deliver(life, new PoolEvent.HoldEnded(h, new HoldResult.Unanswered()));
+                }
+            });
+        });
+    }
+
+    private void start(SimulatedVm vm, PoolEffect.Start s) {
+        long life = vm.life();
+        boolean lost = random.nextDouble() < lostAnswers;
+        boolean late = random.nextDouble() < lateOrders;
+        long delay = late ? 2_000 + random.nextInt(6_000) : 1;
+        if (late || lost || reach(vm, s.endpoint().id()).isEmpty()) {
+            after(CALL_TIMEOUT_MS, () -> vm.deliver(life, new PoolEvent.StartEnded(s, StartResult.UNANSWERED)));
+        }
+        after(delay, () -> reach(vm, s.endpoint().id()).ifPresent(e -> {
+            StartResult result = e.start(s);
+            if (!lost && !late) {
+                after(1, () -> vm.deliver(life, new PoolEvent.StartEnded(s, result)));
+            }
+        }));
+    }
+
+    private void stop(SimulatedVm vm, PoolEffect.Stop s) {
+        long life = vm.life();
+        boolean lost = random.nextDouble() < lostAnswers;
+        after(1, () -> {
+            Optional<SimulatedEndpoint> e = reach(vm, s.endpoint().id());
+            boolean accepted = e.isPresent() && e.get().stop(s);
+            boolean told = accepted && !lost;
+            after(told ? 1 : CALL_TIMEOUT_MS, () -> vm.deliver(life, new PoolEvent.StopEnded(s, told)));
+        });
+    }
+
+    /**
+     * Checks, as a run begins, that no other run of the task exists and that its job was not refused. A refusal speaks of
+     * all attempts only if there was no other: an attempt that broke off was not refused.
+     */
+    void onStart(SimulatedEndpoint at, RunId run) {
+        begun.add(run.job());
+        note("start of " + run + " at " + at.id);
+        for (SimulatedEndpoint e : endpoints) {
+            if (e.alive && e.isTaskRunning(run)) {
+                violations.add(now + " two runs at one time: " + run + " at " + at.id + " and " + e.id);
+            }
+        }
+        Caller c = callers.get(run.job());
+        boolean refused =
+                !c.waiting && c.attempts == 1 && c.answers.stream().anyMatch(a -> a instanceof JobOutcome.Refused);
+        if (refused) {
+            violations.add(now + " started after a refusal: " + run);
+        }
+    }
+}
--- /dev/null
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedEndpoint.java
@@ -0,0 +1,171 @@
+package org.gooseberrypier.pool;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** An endpoint under virtual time, as the platform describes it; its guards can be switched off one by one. */
+final class SimulatedEndpoint {
+
+    private static final long MAX_LEASE_MS = 1_000;
+    private static final long STOP_MS = 20;
+
+    final String id;
+    final Map<RunId, Long> running = new HashMap<>();
+    PoolEndpoint entry;
+    boolean alive = true;
+    boolean fences = true;
+    boolean checksDeadline = true;
+    boolean enforcesLease = true;
+    boolean remembersStops = true;
+    double slowness = 1;
+    private final PoolSimulation world;
+    private final long clockOffsetMs;
+    private final Map<RunId, Long> begunAt = new HashMap<>();
+    private final Map<String, Integer> highestEnded = new HashMap<>();
+    private final List<RunEnd> ends = new ArrayList<>();
+    private final List<Waiter> waiters = new ArrayList<>();
+    private long incarnation;
+    private long token;
+    private long leaseUntilMs;
+    private long lastEnd;
+
+    private record Waiter(long untilMs, java.util.function.Consumer<HoldResult> reply) {}
+
+    SimulatedEndpoint(PoolSimulation world, String id, String zone, long clockOffsetMs) {
+        this.world = world;
+        this.id = id;
+        this.clockOffsetMs = clockOffsetMs;
+        this.entry = new PoolEndpoint(id, id + ":1", zone, "service", List.of("a", "r1"), 16_000, 65_536, false);
+        this.incarnation = 1;
+    }
+
+    long clockMs() {
+        return world.nowMs() + clockOffsetMs;
+    }
+
+    void crash() {
+        alive = false;
+        running.clear();
+        begunAt.clear();
+        ends.clear();
+        waiters.clear();
+        highestEnded.clear();
+        token = 0;
+        leaseUntilMs = 0;
+        lastEnd = 0;
+    }
+
+    void restart() {
+        alive = true;
+        incarnation++;
+    }
+
+    StartResult start(PoolEffect.Start order) {
+        if (fences && order.token() < token) {
+            return StartResult.FENCED;
+        }
+        if (order.incarnation() != incarnation) {
+            return StartResult.OTHER_INCARNATION;
+        }
+        token = Math.max(token, order.token());
+        extend(order.deadlineMs());
+        RunId run = order.run();
+        if (running.containsKey(run)) {
+            return StartResult.STARTED;
+        }
+        if (run.attempt() <= highestEnded.getOrDefault(task(run), 0) || isTaskRunning(run)) {
+            return StartResult.SUPERSEDED;
+        }
+        if (checksDeadline && order.deadlineMs() <= clockMs()) {
+            return StartResult.LATE;
+        }
+        if (running.size() >= 2) {
+            return StartResult.NO_ROOM;
+        }
+        world.onStart(this, run);
+        long took = (long) (Long.parseLong(order.payload()) * slowness);
+        running.put(run, world.nowMs() + took);
+        begunAt.put(run, world.nowMs());
+        return StartResult.STARTED;
+    }
+
+    boolean stop(PoolEffect.Stop order) {
+        if (fences && order.token() < token) {
+            return false;
+        }
+        token = Math.max(token, order.token());
+        if (remembersStops) {
+            highestEnded.merge(task(order.run()), order.run().attempt(), Math::max);
+        }
+        if (running.containsKey(order.run())) {
+            world.after(STOP_MS, () -> end(order.run(), RunEnd.Cause.INTERRUPTED));
+        }
+        return true;
+    }
+
+    void hold(PoolEffect.Hold call, java.util.function.Consumer<HoldResult> reply) {
+        if (fences && call.token() < token) {
+            reply.accept(new HoldResult.Rejected(HoldResult.Rejection.FENCED));
+            return;
+        }
+        token = Math.max(token, call.token());
+        if (call.deadlineMs() != PoolEffect.Hold.NO_DEADLINE) {
+            extend(call.deadlineMs());
+        }
+        ends.removeIf(e -> e.sequence() <= call.lastSeen());
+        if (!ends.isEmpty() || call.waitMs() == 0) {
+            reply.accept(lists());
+        } else {
+            waiters.add(new Waiter(world.nowMs() + call.waitMs(), reply));
+        }
+    }
+
+    private void extend(long deadlineMs) {
+        leaseUntilMs = Math.max(leaseUntilMs, Math.min(deadlineMs, clockMs() + MAX_LEASE_MS));
+    }
+
+    private HoldResult lists() {
+        List<RunProgress> list = new ArrayList<>();
+        running.forEach((run, until) -> {
+            long begun = begunAt.get(run);
+            long total = Math.max(1, until - begun);
+            list.add(new RunProgress(run, (int) Math.min(99, 100 * (world.nowMs() - begun) / total)));
+        });
+        return new HoldResult.Held(clockMs(), incarnation, list, ends);
+    }
+
+    /** Ends what is done or has no lease, and answers the calls that wait for that. */
+    void advance() {
+        for (Map.Entry<RunId, Long> r : List.copyOf(running.entrySet())) {
+            if (world.nowMs() >= r.getValue()) {
+                end(r.getKey(), RunEnd.Cause.DONE);
+            } else if (enforcesLease && clockMs() > leaseUntilMs) {
+                end(r.getKey(), RunEnd.Cause.INTERRUPTED);
+            }
+        }
+        for (Waiter w : List.copyOf(waiters)) {
+            if (!ends.isEmpty() || world.nowMs() >= w.untilMs()) {
+                waiters.remove(w);
+                w.reply().accept(lists());
+            }
+        }
+    }
+
+    private void end(RunId run, RunEnd.Cause cause) {
+        if (alive && running.remove(run) != null) {
+            begunAt.remove(run);
+            highestEnded.merge(task(run), run.attempt(), Math::max);
+            ends.add(new RunEnd(++lastEnd, run, cause));
+        }
+    }
+
+    boolean isTaskRunning(RunId run) {
+        return running.keySet().stream().anyMatch(r -> task(r).equals(task(run)));
+    }
+
+    private static String task(RunId run) {
+        return run.job() + "/" + run.task();
+    }
+}
--- /dev/null
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the pool under virtual time. */
+package org.gooseberrypier.pool;
