--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/EntryLinks.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/EntryLinks.java
@@ -57,6 +57,11 @@
         }
     }
 
+    /** Confirms each VM as soon as it is heard again. */
+    void confirm() {
+        links.values().forEach(l -> l.unconfirmed = true);
+    }
+
     private void check() {
         long now = System.nanoTime();
         for (Link l : links.values()) {
@@ -86,6 +91,7 @@
         private final ServerCallStreamObserver<ToEntryProto> out;
         private volatile VmContact vm;
         private volatile long heardNanos = System.nanoTime();
+        private volatile boolean unconfirmed;
         private boolean ended;
 
         Link(ServerCallStreamObserver<ToEntryProto> out) {
@@ -101,6 +107,10 @@
         @Override
         public void onNext(ToOwnerProto message) {
             heardNanos = System.nanoTime();
+            if (unconfirmed && vm != null) {
+                unconfirmed = false;
+                events.accept(new PoolEvent.EntryConfirmed(vm));
+            }
             if (message.hasHello()) {
                 attach(PoolMessageCodec.decode(message.getHello()));
             } else if (vm != null) {
--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolVm.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolVm.java
@@ -44,6 +44,9 @@
 
     private static final long FOLLOWER_LIST_MS = 3_000;
 
+    /** Clocks that part by more than this show a pause or a step; less is the usual correction, in milliseconds. */
+    private static final long CLOCK_JUMP_MS = 150;
+
     private final VmContact self;
     private final EventLoopGroup group;
     private final PoolStore store;
@@ -65,6 +68,7 @@
     private boolean listing;
     private long listAtMs;
     private long tickAtMs;
+    private long clockOffsetMs = System.currentTimeMillis() - nowMs();
 
     private PoolVm(Builder builder) {
         self = new VmContact(
@@ -82,10 +86,13 @@
                 group,
                 OWNERSHIP_WAIT_MS,
                 store::readOwnership,
-                p -> ring.publish(new PoolEvent.OwnershipRead(p.end(), p.newest())));
+                (page, askedAtMs) -> ring.publish(new PoolEvent.OwnershipRead(page.end(), page.newest(), askedAtMs)));
         configurations = new StoreFollower<PoolConfiguration>(
-                "configuration", group, CONFIGURATION_WAIT_MS, store::readConfiguration, p -> p.newest()
-                        .ifPresent(this::use));
+                "configuration",
+                group,
+                CONFIGURATION_WAIT_MS,
+                store::readConfiguration,
+                (page, askedAtMs) -> page.newest().ifPresent(this::use));
     }
 
     /**
@@ -227,14 +234,28 @@
     }
 
     private void handle(PoolEvent event) {
+        checkClocks();
         core.handle(event, nowMs());
         advance();
     }
 
     private void tick() {
+        checkClocks();
         advance();
     }
 
+    /** Finds pauses of the VM: the time of day goes on in them, the steady clock does not. A step looks the same. */
+    private void checkClocks() {
+        long offsetMs = System.currentTimeMillis() - nowMs();
+        boolean jumped = Math.abs(offsetMs - clockOffsetMs) > CLOCK_JUMP_MS;
+        clockOffsetMs = offsetMs;
+        if (jumped) {
+            LOG.warn("event=clocks_jumped");
+            core.handle(new PoolEvent.Woke(), nowMs());
+            entries.confirm();
+        }
+    }
+
     private long sleepMs() {
         return Math.max(0, tickAtMs - nowMs());
     }
@@ -305,9 +326,10 @@
     }
 
     private void readOwnership() {
+        long askedAtMs = nowMs();
         store.readOwnership(PoolStore.NEWEST, 0).whenComplete((page, error) -> {
             if (error == null) {
-                ring.publish(new PoolEvent.OwnershipRead(page.end(), page.newest()));
+                ring.publish(new PoolEvent.OwnershipRead(page.end(), page.newest(), askedAtMs));
             } else {
                 LOG.warn("event=ownership_not_read error=\"{}\"", error.getMessage());
             }
--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/StoreFollower.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/StoreFollower.java
@@ -4,7 +4,6 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
-import java.util.function.Consumer;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -28,17 +27,25 @@
     private final ScheduledExecutorService timers;
     private final long waitMs;
     private final BiFunction<Long, Long, CompletableFuture<PoolStore.Page<T>>> reader;
-    private final Consumer<PoolStore.Page<T>> sink;
+    private final Sink<T> sink;
     private long from = PoolStore.NEWEST;
     private boolean lost;
+    private long askedAtMs;
     private volatile boolean closed;
 
+    /** Takes what was read. */
+    interface Sink<T> {
+
+        /** Takes a page that was asked for at the given time of the steady clock, in milliseconds. */
+        void accept(PoolStore.Page<T> page, long askedAtMs);
+    }
+
     StoreFollower(
             String name,
             ScheduledExecutorService timers,
             long waitMs,
             BiFunction<Long, Long, CompletableFuture<PoolStore.Page<T>>> reader,
-            Consumer<PoolStore.Page<T>> sink) {
+            Sink<T> sink) {
         this.name = name;
         this.timers = timers;
         this.waitMs = waitMs;
@@ -48,6 +55,7 @@
 
     void start() {
         if (!closed) {
+            askedAtMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
             reader.apply(from, waitMs).whenComplete(this::take);
         }
     }
@@ -71,7 +79,7 @@
             }
             from = page.end();
             pauseMs = MIN_INTERVAL_MS;
-            sink.accept(page);
+            sink.accept(page, askedAtMs);
         }
         if (!closed) {
             timers.schedule(this::start, pauseMs, TimeUnit.MILLISECONDS);
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
@@ -29,7 +29,7 @@
     private static final long DETACHED_MS = 400;
 
     /** By then a run of an earlier owner that can not be heard has lapsed or was stopped, in milliseconds. */
-    private static final long EARLIER_RUNS_MS = 1_400;
+    private static final long EARLIER_RUNS_MS = 1_600;
 
     /** Outcomes are kept this long for callers that send a job again, in milliseconds. */
     private static final long KEPT_MS = 10_000;
@@ -100,11 +100,34 @@
             known.againFrom = from;
         } else if (known != null) {
             known.subscribers.put(from, 0L);
+            if (p.isResumed()) {
+                rejoin(known, p);
+            }
         } else {
             admit(from, p);
         }
     }
 
+    /** Takes note that another owner may have had the job since it was handed over here. */
+    private void rejoin(OwnedJob job, PoolMessage.Present p) {
+        job.resumed = true;
+        job.handedOverAtMs = board.now;
+        for (int i : p.doneTasks()) {
+            setDone(job, i);
+        }
+        leases.adopt(job);
+        skipEarlierAttempts(job, p);
+        finishIfDone(job);
+    }
+
+    private static void skipEarlierAttempts(OwnedJob job, PoolMessage.Present p) {
+        for (OwnedTask t : job.tasks) {
+            if (t.state == OwnedTask.State.WAITING) {
+                t.attempt = Math.max(t.attempt, p.handovers() * OwnedJob.ATTEMPTS_PER_OWNER);
+            }
+        }
+    }
+
     private void admit(VmContact from, PoolMessage.Present p) {
         PoolJob spec = p.job();
         OwnedJob job = new OwnedJob(spec, board.now - p.ageMs(), p.isResumed(), board.now);
@@ -132,11 +155,7 @@
             setDone(job, i);
         }
         leases.adopt(job);
-        for (OwnedTask t : job.tasks) {
-            if (t.state == OwnedTask.State.WAITING) {
-                t.attempt = p.handovers() * OwnedJob.ATTEMPTS_PER_OWNER;
-            }
-        }
+        skipEarlierAttempts(job, p);
         board.log("event=job_resumed job=" + job.spec.id() + " done=" + job.done + " running=" + job.active);
         finishIfDone(job);
     }
@@ -181,7 +200,8 @@
         }
     }
 
-    void onAttached(VmContact vm) {
+    /** Counts a VM as waiting for its jobs again; over a new link it hands them over again instead. */
+    void onConfirmed(VmContact vm) {
         for (OwnedJob j : board.jobs.values()) {
             j.subscribers.computeIfPresent(vm, (v, since) -> 0L);
         }
@@ -503,7 +523,8 @@
         long latestHandoverMs = Long.MIN_VALUE;
         List<OwnedJob> waiting = new ArrayList<>();
         for (OwnedJob j : board.jobs.values()) {
-            if (j.waiting == 0 || j.ending) {
+            boolean attached = j.subscribers.containsValue(0L);
+            if (j.waiting == 0 || j.ending || !attached) {
                 continue;
             }
             boolean heard = heardSinceMs >= j.handedOverAtMs;
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseController.java
@@ -37,6 +37,9 @@
     /** Within this time of taking over, the entry VMs hand their jobs over again, in milliseconds. */
     private static final long STRAY_MS = 500;
 
+    /** The same within a zone that goes on alone, whose few VMs are near; jobs of VMs elsewhere wait for it to pass. */
+    private static final long ZONE_STRAY_MS = 200;
+
     private final PoolBoard board;
     private final RunListener listener;
     /** Endpoints that left the list count as possibly alive for this long, as entries lapse while the store is away. */
@@ -342,11 +345,12 @@
     }
 
     private void stopStrays(LeasedEndpoint e) {
-        if (e.strays.isEmpty() || board.now - board.ownerSinceMs < STRAY_MS) {
+        long strayMs = board.role == OwnerRole.ZONE_OWNER ? ZONE_STRAY_MS : STRAY_MS;
+        if (e.strays.isEmpty() || board.now - board.ownerSinceMs < strayMs) {
             return;
         }
         for (Map.Entry<RunId, Long> s : e.strays.entrySet()) {
-            if (board.now - s.getValue() >= STRAY_MS) {
+            if (board.now - s.getValue() >= strayMs) {
                 s.setValue(board.now);
                 board.log("event=stop_stray run=" + s.getKey() + " endpoint=" + e.entry.id());
                 board.emit(new PoolEffect.Stop(e.entry, board.token, s.getKey()));
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnedJob.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnedJob.java
@@ -21,9 +21,9 @@
     final Map<VmContact, Long> subscribers = new HashMap<>();
 
     final long arrivedAtMs;
-    final boolean resumed;
+    boolean resumed;
     /** When an earlier owner's job was handed over; its unheard runs last no longer than a lease from then. */
-    final long handedOverAtMs;
+    long handedOverAtMs;
 
     boolean everStarted;
     /** Whether the job has ended for its callers and only its runs are still being stopped. */
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnershipController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnershipController.java
@@ -42,6 +42,9 @@
     /** A member of a zone that goes on alone tries the next candidate after this time, in milliseconds. */
     private static final long CANDIDATE_MS = 200;
 
+    /** By then a link whose other end is gone has been found silent, in milliseconds. */
+    private static final long DOUBT_MS = 500;
+
     /** A VM that lost the store's answer for this long can not rely on it, in milliseconds. */
     private static final long STORE_SILENT_MS = 600;
 
@@ -71,6 +74,9 @@
     void onRead(PoolEvent.OwnershipRead event) {
         readAtMs = board.now;
         end = event.end();
+        if (board.doubtfulSinceMs > 0 && event.askedAtMs() >= board.doubtfulSinceMs) {
+            board.doubtfulSinceMs = 0;
+        }
         Optional<Ownership> newest = event.newest();
         boolean changed = newest.isPresent()
                 && (board.newest.isEmpty()
@@ -207,6 +213,21 @@
         }
     }
 
+    /** Doubts the ownership until the store confirms it, or until links to VMs that are gone have been found silent. */
+    void onWoke() {
+        board.doubtfulSinceMs = board.now;
+        if (board.isOwner()) {
+            board.warn("event=woke token=" + board.token);
+            board.emit(new PoolEffect.ReadOwnership());
+        }
+    }
+
+    private void endDoubt() {
+        if (board.doubtfulSinceMs > 0 && board.now - board.doubtfulSinceMs >= DOUBT_MS) {
+            board.doubtfulSinceMs = 0;
+        }
+    }
+
     /** An endpoint refused the token: either a newer owner is named, or a zone went on alone in between. */
     void onFenced() {
         if (!board.fenced) {
@@ -226,6 +247,7 @@
     }
 
     void onTick(List<VmContact> attached) {
+        endDoubt();
         if (board.isOwner()) {
             return;
         }
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolBoard.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolBoard.java
@@ -30,6 +30,8 @@
     long ownerSinceMs;
     String linkedOwner = "";
     boolean stopping;
+    /** Since when the ownership is in doubt, as this VM may have stood still; 0 if it is not. */
+    long doubtfulSinceMs;
 
     // Written by LeaseController.
     List<PoolEndpoint> registered = List.of();
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
@@ -75,6 +75,9 @@
             ownership.onLinkDown(e);
         } else if (event instanceof PoolEvent.FromOwner e) {
             fromOwner(e);
+        } else if (event instanceof PoolEvent.Woke) {
+            ownership.onWoke();
+            attached.forEach(jobs::onDetached);
         } else if (event instanceof PoolEvent.StopAsked) {
             ownership.handOver(successors());
         } else {
@@ -86,7 +89,8 @@
         if (event instanceof PoolEvent.EntryAttached e) {
             attached.add(e.vm());
             peersChanged = true;
-            jobs.onAttached(e.vm());
+        } else if (event instanceof PoolEvent.EntryConfirmed e) {
+            jobs.onConfirmed(e.vm());
         } else if (event instanceof PoolEvent.EntryDetached e) {
             attached.remove(e.vm());
             peersChanged = true;
@@ -166,7 +170,7 @@
                 entry.onMessage(m);
                 busy = true;
             }
-            if (board.isOwner() && board.placementDue) {
+            if (board.isOwner() && board.placementDue && board.doubtfulSinceMs == 0) {
                 jobs.place();
             }
         }
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/PoolEvent.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/PoolEvent.java
@@ -36,8 +36,9 @@
      *
      * @param end where the next record will lie
      * @param newest the newest record, if there is one
+     * @param askedAtMs when the store was asked, on this VM's steady clock
      */
-    record OwnershipRead(long end, Optional<Ownership> newest) implements PoolEvent {}
+    record OwnershipRead(long end, Optional<Ownership> newest, long askedAtMs) implements PoolEvent {}
 
     /**
      * A claim has ended.
@@ -77,6 +78,13 @@
      */
     record EntryAttached(VmContact vm) implements PoolEvent {}
 
+    /**
+     * A VM was heard over the link that it had before this VM may have stood still.
+     *
+     * @param vm the VM
+     */
+    record EntryConfirmed(VmContact vm) implements PoolEvent {}
+
     /**
      * The link of a VM to this one was lost.
      *
@@ -130,6 +138,9 @@
      */
     record StopEnded(PoolEffect.Stop stop, boolean accepted) implements PoolEvent {}
 
+    /** The VM may have stood still for a while that its steady clock did not count. */
+    record Woke() implements PoolEvent {}
+
     /** The VM is asked to stop gracefully. */
     record StopAsked() implements PoolEvent {}
 }
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolRandomTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolRandomTest.java
@@ -15,7 +15,7 @@
 
     private static final int FIRST_SEED = Integer.getInteger("pool.seed", 1);
     private static final int SEEDS = Integer.getInteger("pool.seeds", 60);
-    private static final int PLANTED_SEEDS = 60;
+    private static final int PLANTED_SEEDS = 300;
     private static final long WARM_UP_MS = 3_000;
     private static final long FAULTS_MS = 25_000;
     private static final long RECOVERY_MS = 20_000;
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolSimulation.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolSimulation.java
@@ -178,7 +178,7 @@
             int end = ownership.size();
             Optional<Ownership> newest =
                     end == 0 ? Optional.empty() : Optional.of(new Ownership(end - 1, ownership.get(end - 1)));
-            deliver(vm, 4, new PoolEvent.OwnershipRead(end, newest));
+            deliver(vm, 4, new PoolEvent.OwnershipRead(end, newest, vm.clockMs()));
         }
     }
 
@@ -308,6 +308,15 @@
         });
     }
 
+    /** Lets each VM that is really linked to a VM show itself again. */
+    void confirmLinks(SimulatedVm vm) {
+        for (SimulatedVm v : vms) {
+            if (v.alive && v.linked && v.linkTarget.equals(vm.contact.address())) {
+                deliver(vm, 100, new PoolEvent.EntryConfirmed(v.contact));
+            }
+        }
+    }
+
     private void sendOwner(SimulatedVm vm, PoolMessage.ToOwner message) {
         if (vm.linked && !isCut(vm.contact.address(), vm.linkTarget)) {
             deliver(byAddress(vm.linkTarget), 2, new PoolEvent.FromEntry(vm.contact, message));
@@ -353,7 +362,7 @@
         long life = vm.life();
         boolean lost = random.nextDouble() < lostAnswers;
         boolean late = random.nextDouble() < lateOrders;
-        long delay = late ? 2_000 + random.nextInt(6_000) : 1;
+        long delay = late ? 200 + random.nextInt(6_000) : 1;
         if (late || lost || reach(vm, s.endpoint().id()).isEmpty()) {
             after(CALL_TIMEOUT_MS, () -> vm.deliver(life, new PoolEvent.StartEnded(s, StartResult.UNANSWERED)));
         }
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedVm.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedVm.java
@@ -65,6 +65,8 @@
         }
         clockLagMs += world.nowMs() - frozenAtMs;
         frozen = false;
+        handle(new PoolEvent.Woke());
+        world.confirmLinks(this);
         while (!delayed.isEmpty() && alive) {
             handle(delayed.poll());
         }
