--- /dev/null
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolCoreTest.java
@@ -0,0 +1,181 @@
+package org.gooseberrypier.pool;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/** What callers see of a pool when VMs, the store and endpoints fail, under virtual time. */
+public class PoolCoreTest {
+
+    private static PoolSimulation opened(int endpoints) {
+        PoolSimulation s = new PoolSimulation(1, 6, endpoints);
+        s.startAll();
+        s.runUntil(2_000);
+        return s;
+    }
+
+    private static SimulatedVm owner(PoolSimulation s) {
+        Optional<SimulatedVm> owner =
+                s.vms.stream().filter(v -> v.alive && v.isOwner()).findFirst();
+        return owner.orElseThrow(() -> new AssertionError("no owner"));
+    }
+
+    private static void assertCompleted(PoolSimulation.Caller caller) {
+        assertEquals(caller.answers, List.of(new JobOutcome.Completed()));
+    }
+
+    private static int starts(PoolSimulation s) {
+        return s.starts;
+    }
+
+    @Test
+    public void oneVmOwnsThePoolAndRunsTheJobsOfAll() {
+        PoolSimulation s = opened(9);
+        for (int i = 0; i < 12; i++) {
+            s.submit(PoolJobs.job("job-" + i, 2, 100));
+            s.runUntil(s.nowMs() + 200);
+        }
+        s.callers.values().forEach(PoolCoreTest::assertCompleted);
+        assertEquals(s.vms.stream().filter(SimulatedVm::isOwner).count(), 1);
+        assertEquals(starts(s), 24);
+    }
+
+    @Test
+    public void runsGoOnUnderTheNextOwnerWithoutASecondStart() {
+        PoolSimulation s = opened(9);
+        SimulatedVm first = owner(s);
+        PoolSimulation.Caller caller = s.submitAt(other(s, first), PoolJobs.patientJob("job-1", 3, 800));
+        s.runUntil(s.nowMs() + 100);
+        s.kill(first);
+        s.runUntil(s.nowMs() + 2_500);
+        assertCompleted(caller);
+        assertEquals(starts(s), 3);
+        assertFalse(owner(s) == first);
+    }
+
+    private static SimulatedVm other(PoolSimulation s, SimulatedVm not) {
+        return s.vms.stream().filter(v -> v != not && v.alive).findFirst().orElseThrow();
+    }
+
+    @Test
+    public void aKilledOwnerIsSucceededWithinAFewHundredMilliseconds() {
+        PoolSimulation s = opened(9);
+        s.kill(owner(s));
+        long killedAtMs = s.nowMs();
+        while (s.vms.stream().noneMatch(v -> v.alive && v.isOwner())) {
+            s.runUntil(s.nowMs() + 10);
+        }
+        assertTrue(s.nowMs() - killedAtMs < 400, "no owner for " + (s.nowMs() - killedAtMs) + " ms");
+    }
+
+    @Test
+    public void aStoppingOwnerHandsThePoolOver() {
+        PoolSimulation s = opened(9);
+        SimulatedVm first = owner(s);
+        first.deliver(first.life(), new PoolEvent.StopAsked());
+        s.runUntil(s.nowMs() + 500);
+        assertFalse(first.isOwner());
+        assertEquals(s.vms.stream().filter(SimulatedVm::isOwner).count(), 1);
+    }
+
+    @Test
+    public void aZoneThatIsCutOffRunsItsJobsOnItsOwnEndpoints() {
+        PoolSimulation s = opened(9);
+        String zone = s.vms.stream()
+                .filter(v -> !v.contact.zone().equals(owner(s).contact.zone()))
+                .findFirst()
+                .orElseThrow()
+                .contact
+                .zone();
+        s.cutZone(zone);
+        s.runUntil(s.nowMs() + 2_000);
+        SimulatedVm inside = s.vms.stream()
+                .filter(v -> v.contact.zone().equals(zone))
+                .findFirst()
+                .orElseThrow();
+        PoolSimulation.Caller caller = s.submitAt(inside, PoolJobs.job("job-1", 2, 100));
+        s.runUntil(s.nowMs() + 300);
+        assertCompleted(caller);
+    }
+
+    @Test
+    public void anOwnerGoesOnWithoutTheStore() {
+        PoolSimulation s = opened(9);
+        s.storeDown = true;
+        s.runUntil(s.nowMs() + 5_000);
+        PoolSimulation.Caller caller = s.submit(PoolJobs.job("job-1", 2, 100));
+        s.runUntil(s.nowMs() + 300);
+        assertCompleted(caller);
+    }
+
+    @Test
+    public void aJobThatNoEndpointCanHoldIsRefusedAtOnce() {
+        PoolSimulation s = opened(9);
+        PoolJob large = new PoolJob("job-1", "queue", "service", "10", 1, 17_000, 64, 10, 0, 3, 1.6, 60, "", "");
+        PoolSimulation.Caller caller = s.submit(large);
+        s.runUntil(s.nowMs() + 20);
+        assertTrue(caller.answers.get(0) instanceof JobOutcome.Refused, caller.answers.toString());
+        assertEquals(starts(s), 0);
+    }
+
+    @Test
+    public void aRunThatStandsStillIsMovedToAnotherEndpoint() {
+        PoolSimulation s = opened(2);
+        s.endpoints.get(0).slowness = 200;
+        s.endpoints.get(1).slowness = 1;
+        PoolSimulation.Caller caller = s.submit(PoolJobs.patientJob("job-1", 1, 300));
+        s.runUntil(s.nowMs() + 2_500);
+        assertCompleted(caller);
+    }
+
+    @Test
+    public void theSameJobAtTwoVmsIsOneJob() {
+        PoolSimulation s = opened(9);
+        PoolJob job = PoolJobs.job("job-1", 2, 300);
+        s.submitAt(s.vms.get(1), job);
+        s.runUntil(s.nowMs() + 50);
+        PoolSimulation.Caller second = s.submitAt(s.vms.get(2), job);
+        s.runUntil(s.nowMs() + 600);
+        assertCompleted(second);
+        assertEquals(starts(s), 2);
+    }
+
+    @Test
+    public void aCallerThatLeavesStopsItsRuns() {
+        PoolSimulation s = opened(9);
+        PoolSimulation.Caller caller = s.submitAt(s.vms.get(2), PoolJobs.patientJob("job-1", 2, 5_000));
+        s.runUntil(s.nowMs() + 100);
+        s.vms.get(2).deliver(s.vms.get(2).life(), new PoolEvent.CallerGone(caller.call));
+        s.runUntil(s.nowMs() + 100);
+        assertTrue(s.endpoints.stream().allMatch(e -> e.running.isEmpty()));
+    }
+
+    @Test
+    public void aDeadVmsRunsAreStopped() {
+        PoolSimulation s = opened(9);
+        SimulatedVm entry = other(s, owner(s));
+        s.submitAt(entry, PoolJobs.patientJob("job-1", 2, 5_000));
+        s.runUntil(s.nowMs() + 100);
+        s.kill(entry);
+        s.runUntil(s.nowMs() + 700);
+        assertTrue(s.endpoints.stream().allMatch(e -> e.running.isEmpty()));
+    }
+
+    @Test
+    public void aDrainingEndpointGetsNoNewTask() {
+        PoolSimulation s = opened(2);
+        SimulatedEndpoint e = s.endpoints.get(0);
+        e.entry = new PoolEndpoint(
+                e.id, e.entry.address(), e.entry.zone(), "service", e.entry.labels(), 16_000, 65_536, true);
+        s.runUntil(s.nowMs() + 500);
+        s.submit(PoolJobs.job("job-1", 2, 100));
+        s.runUntil(s.nowMs() + 50);
+        assertTrue(e.running.isEmpty());
+        assertEquals(s.endpoints.get(1).running.size(), 2);
+    }
+}
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolSimulation.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolSimulation.java
@@ -32,6 +32,7 @@
             new PriorityQueue<>(Comparator.comparingLong(Step::atMs).thenComparingLong(Step::order));
     private final List<VmContact> ownership = new ArrayList<>();
     private final Map<Long, Caller> calls = new HashMap<>();
+    int starts;
     private final Set<String> begun = new HashSet<>();
     private long now;
     private long order;
@@ -132,13 +133,33 @@
         return c;
     }
 
+    /** Submits a job to a certain VM. */
+    Caller submitAt(SimulatedVm vm, PoolJob job) {
+        Caller c = new Caller(job);
+        callers.put(job.id(), c);
+        send(c, vm);
+        return c;
+    }
+
+    /** Cuts a zone off from everything outside of it. */
+    void cutZone(String zone) {
+        List<String> inside = new ArrayList<>();
+        List<String> outside = new ArrayList<>(List.of("store"));
+        vms.forEach(v -> (v.contact.zone().equals(zone) ? inside : outside).add(v.contact.address()));
+        endpoints.forEach(e -> (e.entry.zone().equals(zone) ? inside : outside).add(e.id));
+        inside.forEach(a -> outside.forEach(b -> cuts.add(a + "|" + b)));
+    }
+
     private void send(Caller c) {
         List<SimulatedVm> alive = vms.stream().filter(v -> v.alive).toList();
         if (alive.isEmpty()) {
             after(RESEND_MS, () -> send(c));
-            return;
+        } else {
+            send(c, alive.get(random.nextInt(alive.size())));
         }
-        SimulatedVm vm = alive.get(random.nextInt(alive.size()));
+    }
+
+    private void send(Caller c, SimulatedVm vm) {
         c.call = ++lastCall;
         c.attempts++;
         c.vm = vm.index;
@@ -391,6 +412,7 @@
      */
     void onStart(SimulatedEndpoint at, RunId run) {
         begun.add(run.job());
+        starts++;
         note("start of " + run + " at " + at.id);
         for (SimulatedEndpoint e : endpoints) {
             if (e.alive && e.isTaskRunning(run)) {
