--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseController.java
@@ -42,8 +42,11 @@
 
     private final PoolBoard board;
     private final RunListener listener;
-    /** Endpoints that left the list count as possibly alive for this long, as entries lapse while the store is away. */
-    private static final long DEPARTED_MS = 5_000;
+    /**
+     * An endpoint that left the list without draining counts as possibly alive for this long, in milliseconds: its entry
+     * also lapses while its zone is cut off, where the zone's owner goes on using it, and comes back seconds later.
+     */
+    private static final long DEPARTED_MS = 15_000;
 
     private final Map<String, Departed> departed = new HashMap<>();
     private long listAskedAtMs = Long.MIN_VALUE;
@@ -89,7 +92,9 @@
         Map<String, PoolEndpoint> listed = new HashMap<>();
         event.endpoints().forEach(e -> listed.put(e.id(), e));
         for (PoolEndpoint e : board.registered) {
-            departed.putIfAbsent(e.id(), new Departed(e, board.now));
+            if (!e.draining()) {
+                departed.putIfAbsent(e.id(), new Departed(e, board.now));
+            }
         }
         departed.values().removeIf(d -> listed.containsKey(d.endpoint().id()) || board.now - d.sinceMs() > DEPARTED_MS);
         listAskedAtMs = event.askedAtMs();
@@ -122,6 +127,9 @@
         }
         for (LeasedEndpoint e : new ArrayList<>(board.endpoints.values())) {
             if (!seen.contains(e.entry.id())) {
+                if (e.registered && !e.entry.draining()) {
+                    e.departedUntilMs = board.now + DEPARTED_MS;
+                }
                 e.registered = false;
                 if (e.runs.isEmpty() && e.isLapsed(board.now) && board.now > e.departedUntilMs) {
                     board.endpoints.remove(e.entry.id());
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolSimulation.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolSimulation.java
@@ -205,8 +205,10 @@
 
     private void readEndpoints(SimulatedVm vm) {
         if (storeAnswers(vm)) {
-            List<PoolEndpoint> list =
-                    endpoints.stream().filter(e -> e.alive).map(e -> e.entry).toList();
+            List<PoolEndpoint> list = endpoints.stream()
+                    .filter(e -> e.alive && e.listed)
+                    .map(e -> e.entry)
+                    .toList();
             deliver(vm, 4, new PoolEvent.EndpointsRead(list, vm.clockMs()));
         }
     }
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedEndpoint.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedEndpoint.java
@@ -15,6 +15,9 @@
     final Map<RunId, Long> running = new HashMap<>();
     PoolEndpoint entry;
     boolean alive = true;
+    /** Whether its entry stands in the store. */
+    boolean listed = true;
+
     boolean fences = true;
     boolean checksDeadline = true;
     boolean enforcesLease = true;
