--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
@@ -61,11 +61,14 @@
 
     private static final long MIN_RETRY_AFTER_MS = 500;
 
+    /** A job that no endpoint can hold had better not come back before endpoints have changed, in milliseconds. */
+    private static final long NEVER_RETRY_AFTER_MS = 60_000;
+
     private final PoolBoard board;
     private final LeaseController leases;
     private final OwnershipController ownership;
     private final DurationEstimator durations = new DurationEstimator();
-    private final PlacementPlanner planner = new PlacementPlanner(durations);
+    private final PlacementPlanner planner = new PlacementPlanner(durations, JobOrder.LEAST_DEMANDING_QUEUE);
     private final Map<String, Kept> kept = new LinkedHashMap<>();
 
     private record Kept(JobOutcome outcome, long untilMs) {}
@@ -132,11 +135,17 @@
         PoolJob spec = p.job();
         OwnedJob job = new OwnedJob(spec, board.now - p.ageMs(), p.isResumed(), board.now);
         if (!p.isResumed() && board.jobs.size() >= MAX_JOBS) {
-            refuse(from, spec, "queue full");
+            refuse(from, spec, "queue full", MIN_RETRY_AFTER_MS);
             return;
         }
         if (!p.isResumed() && !canEverRun(spec)) {
-            refuse(from, spec, "no endpoint is large enough");
+            refuse(from, spec, "no endpoint is large enough", NEVER_RETRY_AFTER_MS);
+            return;
+        }
+        planner.observe(job, board.now);
+        double waitMs = planner.expectedWaitMs(job, board.jobs.values(), board.endpoints.values(), board.now);
+        if (!p.isResumed() && waitMs > planner.patienceMs(job, board.now)) {
+            refuse(from, spec, "too much work waits", (long) waitMs);
             return;
         }
         job.subscribers.put(from, 0L);
@@ -180,9 +189,11 @@
         return false;
     }
 
-    private void refuse(VmContact to, PoolJob spec, String why) {
-        board.log("event=job_refused job=" + spec.id() + " reason=\"" + why + "\" jobs=" + board.jobs.size());
-        board.sendEntry(to, new PoolMessage.Finished(spec.id(), new JobOutcome.Refused(why, MIN_RETRY_AFTER_MS)));
+    private void refuse(VmContact to, PoolJob spec, String why, long retryAfterMs) {
+        board.log("event=job_refused job=" + spec.id() + " reason=\"" + why + "\" jobs=" + board.jobs.size()
+                + " retry_after_ms=" + retryAfterMs);
+        long after = Math.max(MIN_RETRY_AFTER_MS, retryAfterMs);
+        board.sendEntry(to, new PoolMessage.Finished(spec.id(), new JobOutcome.Refused(why, after)));
     }
 
     void onWithdraw(VmContact from, String id) {
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PlacementPlanner.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PlacementPlanner.java
@@ -2,16 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.List;
 
 import org.gooseberrypier.pool.PoolJob;
 
 /**
- * Decides in which order waiting tasks get room and where.
+ * Decides where waiting tasks get room, and which jobs can not be served in time.
  *
- * <p>Order: jobs that can still meet their objective before those that can not, begun ones first, then the least work.
- * Place: among the endpoints on which the task meets the objective the slowest for short work, so that the fast ones stay
+ * <p>Place: among the endpoints on which the task meets the objective the slowest for short work, so that the fast ones stay
  * free for long work, then the tightest fit. Load pattern: more work than room, of unequal sizes, on unequal endpoints.
  */
 final class PlacementPlanner {
@@ -19,10 +17,15 @@
     /** An answer's way to its caller, in milliseconds: from the endpoint to the owner, the entry VM and the caller. */
     private static final double ANSWER_MS = 10;
 
+    /** The share of the room that tasks of mixed sizes can fill. */
+    private static final double USABLE_SHARE = 0.85;
+
     /** Work answered within this many objectives still earns something. */
     static final double LATE_OBJECTIVES = 3;
 
     private final DurationEstimator durations;
+    private final JobOrder order;
+    private final OfferedWork offered = new OfferedWork();
 
     /** One task and the endpoint that it gets. */
     record Place(OwnedTask task, LeasedEndpoint endpoint) {}
@@ -34,8 +37,9 @@
         void place(Place place);
     }
 
-    PlacementPlanner(DurationEstimator durations) {
+    PlacementPlanner(DurationEstimator durations, JobOrder order) {
         this.durations = durations;
+        this.order = order;
     }
 
     /** Returns the response-time objective of a job, in milliseconds from its submission. */
@@ -53,8 +57,53 @@
 
     /** Returns whether a job can not be answered in time to be of any use, wherever it starts now. */
     boolean isHopeless(OwnedJob job, long now) {
+        return patienceMs(job, now) < 0;
+    }
+
+    /** Takes note of a job that arrived. */
+    void observe(OwnedJob job, long now) {
+        offered.observe(job.spec.queue(), work(job), now);
+    }
+
+    /** Returns how long a job may wait for its start and still be of some use, in milliseconds from now. */
+    double patienceMs(OwnedJob job, long now) {
         double left = job.arrivedAtMs + LATE_OBJECTIVES * objectiveMs(job.spec) - ANSWER_MS - now;
-        return durations.bestMs(job.spec) > left;
+        return left - durations.bestMs(job.spec);
+    }
+
+    /**
+     * Returns how long the work that goes before a job keeps all endpoints busy, in milliseconds: at least so long the job
+     * waits. Load pattern: a burst that is larger than what can be done before its jobs are of no use.
+     */
+    double expectedWaitMs(OwnedJob job, Collection<OwnedJob> waiting, Collection<LeasedEndpoint> endpoints, long now) {
+        double capacity = 0;
+        double free = 0;
+        for (LeasedEndpoint e : endpoints) {
+            if (e.isUsable(now) && isAllowed(job.spec, e)) {
+                capacity += e.entry.milliCores();
+                free += e.hasRoom(job) ? e.freeMilliCores() : 0;
+            }
+        }
+        if (capacity == 0 || free >= job.spec.milliCores()) {
+            return 0;
+        }
+        String queue = job.spec.queue();
+        double own = work(job);
+        double demand = offered.queueRate(queue, now);
+        double ahead = 0;
+        for (OwnedJob j : waiting) {
+            boolean smaller =
+                    j.spec.queue().equals(queue) ? work(j) <= own : offered.queueRate(j.spec.queue(), now) < demand;
+            if (j != job && (j.isBegun() || smaller) && j.spec.service().equals(job.spec.service())) {
+                ahead += work(j) * j.waiting / j.spec.tasks();
+            }
+        }
+        double left = USABLE_SHARE * capacity - offered.rateAhead(queue, own, now);
+        return ahead / Math.max(1, left);
+    }
+
+    private static double work(OwnedJob job) {
+        return (double) job.spec.estimateMs() * job.spec.tasks() * job.spec.milliCores();
     }
 
     /** Places what can be placed now. */
@@ -82,17 +131,15 @@
     }
 
     private List<OwnedJob> ordered(Collection<OwnedJob> waiting, long now) {
-        record Ranked(OwnedJob job, int rank, double work) {}
-        List<Ranked> ranked = new ArrayList<>();
+        List<JobOrder.Candidate> candidates = new ArrayList<>();
         for (OwnedJob j : waiting) {
-            int rank = (isOnTime(j, now) ? 0 : 2) + (j.isBegun() ? 0 : 1);
-            double work = (double) j.spec.estimateMs() * j.spec.tasks() * j.spec.milliCores();
-            ranked.add(new Ranked(j, rank, work));
+            candidates.add(
+                    new JobOrder.Candidate(j, isOnTime(j, now), work(j), offered.queueRate(j.spec.queue(), now)));
         }
-        ranked.sort(Comparator.comparingInt(Ranked::rank).thenComparingDouble(Ranked::work));
+        candidates.sort(order);
         List<OwnedJob> jobs = new ArrayList<>();
-        for (Ranked r : ranked) {
-            jobs.add(r.job());
+        for (JobOrder.Candidate c : candidates) {
+            jobs.add(c.job());
         }
         return jobs;
     }
