--- a/org.gooseberrypier.pgm/src/main/java/org/gooseberrypier/pgm/CommandRegistry.java
+++ b/org.gooseberrypier.pgm/src/main/java/org/gooseberrypier/pgm/CommandRegistry.java
@@ -21,6 +21,7 @@
         CommandRegistry registry = new CommandRegistry();
         registry.register("serve", ServeCommand::new);
         registry.register("platform serve", PlatformServeCommand::new);
+        registry.register("platform check", PlatformCheckCommand::new);
         registry.register("platform rehearse", PlatformRehearseCommand::new);
         registry.register("settings check", SettingsCheckCommand::new);
         registry.register("job submit", JobSubmitCommand::new);
--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolVm.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolVm.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.netty.channel.EventLoopGroup;
 import org.gooseberrypier.http.HostPort;
 import org.gooseberrypier.internal.engine.EventRing;
@@ -56,7 +58,8 @@
     private final EntryLinks entries;
     private final StoreFollower<?> ownership;
     private final StoreFollower<?> configurations;
-    private final Map<Long, CompletableFuture<JobOutcome>> calls = new ConcurrentHashMap<>();
+    private final PoolMeters meters;
+    private final Map<Long, Call> calls = new ConcurrentHashMap<>();
     private final Map<String, Integer> inFlight = new ConcurrentHashMap<>();
     private final AtomicLong lastCall = new AtomicLong();
     private final CompletableFuture<Throwable> fatal = new CompletableFuture<>();
@@ -78,6 +81,9 @@
         group = builder.group;
         store = builder.store;
         endpoints = builder.endpoints;
+        meters = new PoolMeters(builder.registry);
+        meters.gauge("owner", "Whether this VM owns endpoints", () -> owner);
+        meters.gauge("linked", "Whether jobs can be handed to an owner", () -> connected);
         core = new PoolCore(self, builder.remotePenalty, nowMs(), this::perform);
         ring = new EventRing<>("pool-core", RING_SIZE, this::handle, this::tick, this::sleepMs, this::stopOnError);
         entries = new EntryLinks(builder.address, group, ring::publish);
@@ -112,6 +118,8 @@
         LOG.info("event=started address={} zone={} incarnation={}", self.address(), self.zone(), self.incarnation());
     }
 
+    private record Call(CompletableFuture<JobOutcome> outcome, long sinceNanos) {}
+
     /** A job of a caller of this VM. */
     public final class Submission {
 
@@ -152,7 +160,7 @@
     public Submission submit(PoolJob job) {
         long call = lastCall.incrementAndGet();
         CompletableFuture<JobOutcome> outcome = new CompletableFuture<>();
-        calls.put(call, outcome);
+        calls.put(call, new Call(outcome, System.nanoTime()));
         inFlight.merge(job.id(), 1, Integer::sum);
         ring.publish(new PoolEvent.Submitted(call, job));
         return new Submission(call, job.id(), outcome);
@@ -301,9 +309,15 @@
         if (effect instanceof PoolEffect.Log l) {
             log(l);
         } else if (effect instanceof PoolEffect.Hold h) {
-            endpoints.hold(h).thenAccept(r -> ring.publish(new PoolEvent.HoldEnded(h, r)));
+            endpoints.hold(h).thenAccept(r -> {
+                meters.held(r);
+                ring.publish(new PoolEvent.HoldEnded(h, r));
+            });
         } else if (effect instanceof PoolEffect.Start s) {
-            endpoints.start(s).thenAccept(r -> ring.publish(new PoolEvent.StartEnded(s, r)));
+            endpoints.start(s).thenAccept(r -> {
+                meters.started(r);
+                ring.publish(new PoolEvent.StartEnded(s, r));
+            });
         } else if (effect instanceof PoolEffect.Stop s) {
             endpoints.stop(s).thenAccept(r -> ring.publish(new PoolEvent.StopEnded(s, r)));
         } else if (effect instanceof PoolEffect.Answer a) {
@@ -318,8 +332,10 @@
             owner = f.owner();
             listAtMs = 0;
         } else if (effect instanceof PoolEffect.Claim c) {
-            store.claim(c.expectedEnd(), c.owner())
-                    .thenAccept(r -> ring.publish(new PoolEvent.ClaimEnded(c.owner(), r)));
+            store.claim(c.expectedEnd(), c.owner()).thenAccept(r -> {
+                meters.claimed(r);
+                ring.publish(new PoolEvent.ClaimEnded(c.owner(), r));
+            });
         } else if (effect instanceof PoolEffect.ReadOwnership) {
             readOwnership();
         }
@@ -345,10 +361,11 @@
     }
 
     private void answer(PoolEffect.Answer a) {
-        CompletableFuture<JobOutcome> call = calls.remove(a.call());
+        Call call = calls.remove(a.call());
         if (call != null) {
             forget(a.job());
-            call.complete(a.outcome());
+            meters.answered(a.outcome(), System.nanoTime() - call.sinceNanos());
+            call.outcome().complete(a.outcome());
         }
     }
 
@@ -380,6 +397,7 @@
         private double remotePenalty = 1;
         private PoolStore store;
         private EndpointClient endpoints;
+        private MeterRegistry registry = new SimpleMeterRegistry();
 
         private Builder(EventLoopGroup group) {
             this.group = Objects.requireNonNull(group, "group");
@@ -440,6 +458,17 @@
             return this;
         }
 
+        /**
+         * Sets where it counts.
+         *
+         * @param value the registry
+         * @return this builder
+         */
+        public Builder meters(MeterRegistry value) {
+            registry = value;
+            return this;
+        }
+
         /**
          * Opens the VM.
          *
