--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/OwnerLink.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/OwnerLink.java
@@ -31,6 +31,9 @@
     /** Distance of the messages that show that this end lives, in milliseconds. */
     private static final long ALIVE_MS = 100;
 
+    /** A peer that has just started answers the first message within this time, in milliseconds. */
+    private static final long WELCOME_MS = 1_000;
+
     private static final long RECONNECT_MS = 40;
     private static final int CONNECT_TIMEOUT_MS = 400;
     private static final Logger LOG = LoggerFactory.getLogger(OwnerLink.class);
@@ -84,7 +87,7 @@
             return;
         }
         long silentMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - attempt.heardNanos);
-        if (silentMs > SILENT_MS) {
+        if (silentMs > (attempt.welcomed ? SILENT_MS : WELCOME_MS)) {
             LOG.warn("event=owner_silent peer={} silent_ms={}", peer, silentMs);
             lose(attempt, false);
         } else {
@@ -117,6 +120,7 @@
         private final ManagedChannel channel;
         private StreamObserver<ToOwnerProto> out;
         private long heardNanos = System.nanoTime();
+        private boolean welcomed;
 
         Attempt() {
             channel = NettyChannelBuilder.forAddress(HostPort.parse(peer).toSocketAddress())
@@ -149,6 +153,7 @@
             }
             heardNanos = System.nanoTime();
             if (message.getWelcome()) {
+                welcomed = true;
                 events.accept(new PoolEvent.OwnerLinkUp(peer));
             }
             PoolMessageCodec.decode(message).ifPresent(m -> events.accept(new PoolEvent.FromOwner(peer, m)));
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
@@ -51,13 +51,13 @@
     private static final long STOP_RETRY_MS = 250;
 
     /** A run's progress is judged over at least this time on the endpoint's clock, in milliseconds. */
-    private static final long MIN_WATCH_MS = 100;
+    private static final long MIN_WATCH_MS = 150;
 
     /** What stopping a run and starting another takes, in milliseconds. */
     private static final double RESTART_MS = 70;
 
-    /** A run is moved only if that is this many times as fast, since progress is reported in whole percents. */
-    private static final double SLOW_FACTOR = 1.5;
+    /** A run is moved only if that is this many times as fast: declared durations are off by 1.7 times, speeds by 1.7. */
+    private static final double SLOW_FACTOR = 3;
 
     private static final long MIN_RETRY_AFTER_MS = 500;
 
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnershipController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnershipController.java
@@ -40,7 +40,7 @@
     private static final long ZONE_WITHOUT_STORE_MS = 250;
 
     /** A zone that reaches the store but not the owner that it names goes on alone after this time, in milliseconds. */
-    private static final long ZONE_ALONE_MS = 700;
+    private static final long ZONE_ALONE_MS = 2_500;
 
     /** A member of a zone that goes on alone tries the next candidate after this time, in milliseconds. */
     private static final long CANDIDATE_MS = 200;
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PlacementPlanner.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PlacementPlanner.java
@@ -79,9 +79,10 @@
         double capacity = 0;
         double free = 0;
         for (LeasedEndpoint e : endpoints) {
-            if (e.isUsable(now) && isAllowed(job.spec, e)) {
+            // One that did not answer yet counts too: the estimate must not be too high, as a refusal is final.
+            if (e.registered && !e.entry.draining() && isAllowed(job.spec, e)) {
                 capacity += e.entry.milliCores();
-                free += e.hasRoom(job) ? e.freeMilliCores() : 0;
+                free += e.isUsable(now) && e.hasRoom(job) ? e.freeMilliCores() : 0;
             }
         }
         if (capacity == 0 || free >= job.spec.milliCores()) {
