Refuse jobs whose starts surely came to nothing; split health, kept outcomes and connect errors from their users

Cause: a job whose only start was turned away counted as begun, so it was never refused and held its caller to the deadline.

--- a/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/Pool.java
+++ b/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/Pool.java
@@ -75,7 +75,7 @@
       "\022\n\n\002id\030\001 \001(\t\022\r\n\005queue\030\002 \001(\t\022\017\n\007service\030\003" +
       " \001(\t\022\017\n\007payload\030\004 \001(\t\022\r\n\005tasks\030\005 \001(\005\022\023\n\013" +
       "milli_cores\030\006 \001(\003\022\021\n\tmemory_mb\030\007 \001(\003\022\023\n\013" +
-      "estimate_ms\030\010 \001(\003\022\020\n\010priority\030\t \001(\005\022\024\n\014m" +
+      "declared_ms\030\010 \001(\003\022\020\n\010priority\030\t \001(\005\022\024\n\014m" +
       "ax_failures\030\n \001(\005\022\017\n\007stretch\030\013 \001(\001\022\031\n\021ta" +
       "rget_latency_ms\030\014 \001(\003\022\026\n\016preferred_rack\030" +
       "\r \001(\t\022\026\n\016required_label\030\016 \001(\t\"u\n\014Present" +
@@ -124,7 +124,7 @@
     internal_static_gooseberrypier_pool_PoolJobProto_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_gooseberrypier_pool_PoolJobProto_descriptor,
-        new java.lang.String[] { "Id", "Queue", "Service", "Payload", "Tasks", "MilliCores", "MemoryMb", "EstimateMs", "Priority", "MaxFailures", "Stretch", "TargetLatencyMs", "PreferredRack", "RequiredLabel", });
+        new java.lang.String[] { "Id", "Queue", "Service", "Payload", "Tasks", "MilliCores", "MemoryMb", "DeclaredMs", "Priority", "MaxFailures", "Stretch", "TargetLatencyMs", "PreferredRack", "RequiredLabel", });
     internal_static_gooseberrypier_pool_PresentProto_descriptor =
       getDescriptor().getMessageTypes().get(2);
     internal_static_gooseberrypier_pool_PresentProto_fieldAccessorTable = new
--- a/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/PoolJobProto.java
+++ b/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/PoolJobProto.java
@@ -234,15 +234,15 @@
     return memoryMb_;
   }
 
-  public static final int ESTIMATE_MS_FIELD_NUMBER = 8;
-  private long estimateMs_ = 0L;
+  public static final int DECLARED_MS_FIELD_NUMBER = 8;
+  private long declaredMs_ = 0L;
   /**
-   * <code>int64 estimate_ms = 8;</code>
-   * @return The estimateMs.
+   * <code>int64 declared_ms = 8;</code>
+   * @return The declaredMs.
    */
   @java.lang.Override
-  public long getEstimateMs() {
-    return estimateMs_;
+  public long getDeclaredMs() {
+    return declaredMs_;
   }
 
   public static final int PRIORITY_FIELD_NUMBER = 9;
@@ -402,8 +402,8 @@
     if (memoryMb_ != 0L) {
       output.writeInt64(7, memoryMb_);
     }
-    if (estimateMs_ != 0L) {
-      output.writeInt64(8, estimateMs_);
+    if (declaredMs_ != 0L) {
+      output.writeInt64(8, declaredMs_);
     }
     if (priority_ != 0) {
       output.writeInt32(9, priority_);
@@ -456,9 +456,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(7, memoryMb_);
     }
-    if (estimateMs_ != 0L) {
+    if (declaredMs_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(8, estimateMs_);
+        .computeInt64Size(8, declaredMs_);
     }
     if (priority_ != 0) {
       size += com.google.protobuf.CodedOutputStream
@@ -511,8 +511,8 @@
         != other.getMilliCores()) return false;
     if (getMemoryMb()
         != other.getMemoryMb()) return false;
-    if (getEstimateMs()
-        != other.getEstimateMs()) return false;
+    if (getDeclaredMs()
+        != other.getDeclaredMs()) return false;
     if (getPriority()
         != other.getPriority()) return false;
     if (getMaxFailures()
@@ -553,9 +553,9 @@
     hash = (37 * hash) + MEMORY_MB_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getMemoryMb());
-    hash = (37 * hash) + ESTIMATE_MS_FIELD_NUMBER;
+    hash = (37 * hash) + DECLARED_MS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getEstimateMs());
+        getDeclaredMs());
     hash = (37 * hash) + PRIORITY_FIELD_NUMBER;
     hash = (53 * hash) + getPriority();
     hash = (37 * hash) + MAX_FAILURES_FIELD_NUMBER;
@@ -708,7 +708,7 @@
       tasks_ = 0;
       milliCores_ = 0L;
       memoryMb_ = 0L;
-      estimateMs_ = 0L;
+      declaredMs_ = 0L;
       priority_ = 0;
       maxFailures_ = 0;
       stretch_ = 0D;
@@ -770,7 +770,7 @@
         result.memoryMb_ = memoryMb_;
       }
       if (((from_bitField0_ & 0x00000080) != 0)) {
-        result.estimateMs_ = estimateMs_;
+        result.declaredMs_ = declaredMs_;
       }
       if (((from_bitField0_ & 0x00000100) != 0)) {
         result.priority_ = priority_;
@@ -865,8 +865,8 @@
       if (other.getMemoryMb() != 0L) {
         setMemoryMb(other.getMemoryMb());
       }
-      if (other.getEstimateMs() != 0L) {
-        setEstimateMs(other.getEstimateMs());
+      if (other.getDeclaredMs() != 0L) {
+        setDeclaredMs(other.getDeclaredMs());
       }
       if (other.getPriority() != 0) {
         setPriority(other.getPriority());
@@ -952,7 +952,7 @@
               break;
             } // case 56
             case 64: {
-              estimateMs_ = input.readInt64();
+              declaredMs_ = input.readInt64();
               bitField0_ |= 0x00000080;
               break;
             } // case 64
@@ -1387,34 +1387,34 @@
       return this;
     }
 
-    private long estimateMs_ ;
+    private long declaredMs_ ;
     /**
-     * <code>int64 estimate_ms = 8;</code>
-     * @return The estimateMs.
+     * <code>int64 declared_ms = 8;</code>
+     * @return The declaredMs.
      */
     @java.lang.Override
-    public long getEstimateMs() {
-      return estimateMs_;
+    public long getDeclaredMs() {
+      return declaredMs_;
     }
     /**
-     * <code>int64 estimate_ms = 8;</code>
-     * @param value The estimateMs to set.
+     * <code>int64 declared_ms = 8;</code>
+     * @param value The declaredMs to set.
      * @return This builder for chaining.
      */
-    public Builder setEstimateMs(long value) {
+    public Builder setDeclaredMs(long value) {
 
-      estimateMs_ = value;
+      declaredMs_ = value;
       bitField0_ |= 0x00000080;
       onChanged();
       return this;
     }
     /**
-     * <code>int64 estimate_ms = 8;</code>
+     * <code>int64 declared_ms = 8;</code>
      * @return This builder for chaining.
      */
-    public Builder clearEstimateMs() {
+    public Builder clearDeclaredMs() {
       bitField0_ = (bitField0_ & ~0x00000080);
-      estimateMs_ = 0L;
+      declaredMs_ = 0L;
       onChanged();
       return this;
     }
--- a/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/PoolJobProtoOrBuilder.java
+++ b/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/PoolJobProtoOrBuilder.java
@@ -75,10 +75,10 @@
   long getMemoryMb();
 
   /**
-   * <code>int64 estimate_ms = 8;</code>
-   * @return The estimateMs.
+   * <code>int64 declared_ms = 8;</code>
+   * @return The declaredMs.
    */
-  long getEstimateMs();
+  long getDeclaredMs();
 
   /**
    * <code>int32 priority = 9;</code>
--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/peer/PeerLink.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/peer/PeerLink.java
@@ -12,6 +12,7 @@
 import org.gooseberrypier.http.HostPort;
 import org.gooseberrypier.lib.VmId;
 import org.gooseberrypier.protocol.Envelope;
+import org.gooseberrypier.server.ConnectErrors;
 import org.gooseberrypier.server.log.LogText;
 import org.gooseberrypier.server.settings.PeerSettings;
 import org.slf4j.Logger;
@@ -222,7 +223,7 @@
             if (up && !closing) {
                 LOG.info("event=peer_down vm={} address={} error={}", LogText.quote(vm), address, LogText.quote(error));
             }
-            if (PeerStream.isRefused(error)) {
+            if (ConnectErrors.isRefused(error)) {
                 events.publish(new PeerEvent.Refused(vm));
             }
             lose();
--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/peer/PeerStream.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/peer/PeerStream.java
@@ -1,7 +1,5 @@
 package org.gooseberrypier.server.peer;
 
-import java.net.ConnectException;
-
 import io.grpc.ManagedChannel;
 import io.grpc.Status;
 import io.grpc.netty.NettyChannelBuilder;
@@ -74,17 +72,6 @@
         listener.onEnd(error);
     }
 
-    static boolean isRefused(Throwable error) {
-        for (Throwable t = error; t != null; t = t.getCause()) {
-            if (t instanceof ConnectException
-                    && t.getMessage() != null
-                    && t.getMessage().contains("refused")) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     /** Hears of a stream, on its event loop. */
     interface Listener {
 
--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/OwnerLink.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/OwnerLink.java
@@ -1,6 +1,5 @@
 package org.gooseberrypier.server.pool;
 
-import java.net.ConnectException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -19,6 +18,7 @@
 import org.gooseberrypier.protocol.PoolServiceGrpc;
 import org.gooseberrypier.protocol.ToEntryProto;
 import org.gooseberrypier.protocol.ToOwnerProto;
+import org.gooseberrypier.server.ConnectErrors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -105,15 +105,6 @@
         loop.schedule(this::connect, RECONNECT_MS, TimeUnit.MILLISECONDS);
     }
 
-    private static boolean isRefused(Throwable error) {
-        for (Throwable t = error; t != null; t = t.getCause()) {
-            if (t instanceof ConnectException && String.valueOf(t.getMessage()).contains("refused")) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     /** One connection with one stream; it is never opened again. */
     private final class Attempt implements StreamObserver<ToEntryProto> {
 
@@ -161,7 +152,7 @@
 
         @Override
         public void onError(Throwable error) {
-            loop.execute(() -> lose(this, isRefused(error)));
+            loop.execute(() -> lose(this, ConnectErrors.isRefused(error)));
         }
 
         @Override
--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolMessageCodec.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolMessageCodec.java
@@ -66,7 +66,7 @@
                 .setTasks(job.tasks())
                 .setMilliCores(job.milliCores())
                 .setMemoryMb(job.memoryMb())
-                .setEstimateMs(job.estimateMs())
+                .setDeclaredMs(job.estimateMs())
                 .setPriority(job.priority())
                 .setMaxFailures(job.maxFailures())
                 .setStretch(job.stretch())
@@ -85,7 +85,7 @@
                 job.getTasks(),
                 job.getMilliCores(),
                 job.getMemoryMb(),
-                job.getEstimateMs(),
+                job.getDeclaredMs(),
                 job.getPriority(),
                 job.getMaxFailures(),
                 job.getStretch(),
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
@@ -2,8 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -31,22 +29,8 @@
     /** By then a run of an earlier owner that can not be heard has lapsed or was stopped, in milliseconds. */
     private static final long EARLIER_RUNS_MS = 1_600;
 
-    /** Outcomes are kept this long for callers that send a job again, in milliseconds. */
-    private static final long KEPT_MS = 10_000;
-
-    private static final int MAX_KEPT = 20_000;
     private static final int MAX_JOBS = 20_000;
 
-    /** An endpoint that refused for want of room or of health is left out for a while, in milliseconds. */
-    private static final long AVOID_MS = 60;
-
-    private static final long AVOID_UNHEALTHY_MS = 400;
-
-    /** An endpoint that fails tasks is left out for this long for each failure in a row, in milliseconds. */
-    private static final long AVOID_FAILING_MS = 500;
-
-    private static final int MAX_SUSPICION = 4;
-
     /** A stop without an answer is sent again after this time, in milliseconds. */
     private static final long STOP_RETRY_MS = 250;
 
@@ -69,9 +53,7 @@
     private final OwnershipController ownership;
     private final DurationEstimator durations = new DurationEstimator();
     private final PlacementPlanner planner = new PlacementPlanner(durations, JobOrder.LEAST_DEMANDING_QUEUE);
-    private final Map<String, Kept> kept = new LinkedHashMap<>();
-
-    private record Kept(JobOutcome outcome, long untilMs) {}
+    private final KeptOutcomes kept = new KeptOutcomes();
 
     JobController(PoolBoard board, OwnershipController ownership, double remotePenalty) {
         this.board = board;
@@ -92,9 +74,8 @@
 
     void onPresent(VmContact from, PoolMessage.Present p) {
         PoolJob spec = p.job();
-        Kept earlier = kept.get(spec.id());
-        if (earlier != null && earlier.outcome() instanceof JobOutcome.Completed) {
-            board.sendEntry(from, new PoolMessage.Finished(spec.id(), earlier.outcome()));
+        if (kept.isCompleted(spec.id())) {
+            board.sendEntry(from, new PoolMessage.Finished(spec.id(), new JobOutcome.Completed()));
             return;
         }
         OwnedJob known = board.jobs.get(spec.id());
@@ -269,11 +250,7 @@
             board.sendEntry(vm, new PoolMessage.Finished(job.spec.id(), outcome));
         }
         job.subscribers.clear();
-        kept.remove(job.spec.id());
-        kept.put(job.spec.id(), new Kept(outcome, board.now + KEPT_MS));
-        if (kept.size() > MAX_KEPT) {
-            kept.remove(kept.keySet().iterator().next());
-        }
+        kept.put(job.spec.id(), outcome, board.now);
     }
 
     private void finishIfDone(OwnedJob job) {
@@ -313,6 +290,7 @@
     private void confirm(OwnedTask t) {
         if (t.state == OwnedTask.State.STARTING) {
             t.job.set(t, OwnedTask.State.RUNNING);
+            t.job.everStarted = true;
             t.confirmedAtMs = board.now;
         }
     }
@@ -328,8 +306,7 @@
         double anewMs = durations.bestMs(t.job.spec) + RESTART_MS;
         if (leftMs > SLOW_FACTOR * anewMs) {
             LeasedEndpoint e = t.endpoint;
-            e.suspicion = Math.min(MAX_SUSPICION, e.suspicion + 1);
-            e.avoidUntilMs = Math.max(e.avoidUntilMs, board.now + AVOID_FAILING_MS * e.suspicion);
+            EndpointHealth.onSlow(e, board.now);
             board.log("event=run_slow run=" + t.run() + " endpoint=" + e.entry.id() + " watched_ms=" + sinceMs
                     + " gained_percent=" + gained + " suspicion=" + e.suspicion);
             stop(t);
@@ -338,18 +315,18 @@
 
     @Override
     public void onEnd(OwnedTask t, RunEnd.Cause cause) {
+        t.job.everStarted = true;
         LeasedEndpoint e = t.endpoint;
         switch (cause) {
             case DONE -> {
-                e.suspicion = 0;
+                EndpointHealth.onDone(e);
                 durations.observe(t.job.spec, e, board.now - t.startedAtMs);
                 release(t, OwnedTask.State.DONE);
                 tellDone(t);
             }
             case FAILED -> {
                 t.failures++;
-                e.suspicion = Math.min(MAX_SUSPICION, e.suspicion + 1);
-                e.avoidUntilMs = board.now + AVOID_FAILING_MS * (e.suspicion - 1);
+                EndpointHealth.onFailed(e, board.now);
                 board.log("event=task_failed run=" + t.run() + " endpoint=" + e.entry.id() + " failures=" + t.failures
                         + " suspicion=" + e.suspicion);
                 release(t, OwnedTask.State.WAITING);
@@ -386,6 +363,7 @@
 
     @Override
     public void onGone(OwnedTask t, String why) {
+        t.job.everStarted = true;
         board.log("event=run_gone run=" + t.run() + " reason=\"" + why + "\" state=" + t.state);
         release(t, OwnedTask.State.WAITING);
         forgetIfGone(t.job);
@@ -440,15 +418,16 @@
             }
             case UNANSWERED -> {
                 if (t.state == OwnedTask.State.STARTING) {
+                    t.job.everStarted = true;
                     board.log("event=start_unanswered run=" + t.run() + " endpoint=" + e.entry.id());
-                    e.avoidUntilMs = board.now + AVOID_UNHEALTHY_MS;
+                    EndpointHealth.onNotStarted(e, event.result(), board.now);
                     stop(t);
                 }
             }
             default -> {
                 board.log("event=start_rejected run=" + t.run() + " endpoint=" + e.entry.id() + " result="
                         + event.result());
-                avoid(e, event);
+                EndpointHealth.onNotStarted(e, event.result(), board.now);
                 if (event.result() == StartResult.SUPERSEDED) {
                     skipAttempts(t);
                 }
@@ -468,16 +447,6 @@
         t.attempt += OwnedJob.ATTEMPTS_PER_OWNER;
     }
 
-    private void avoid(LeasedEndpoint e, PoolEvent.StartEnded event) {
-        long ms =
-                switch (event.result()) {
-                    case NO_ROOM -> AVOID_MS;
-                    case UNHEALTHY, NOT_SENT, OTHER_INCARNATION -> AVOID_UNHEALTHY_MS;
-                    default -> 0;
-                };
-        e.avoidUntilMs = Math.max(e.avoidUntilMs, board.now + ms);
-    }
-
     void onStopEnded(PoolEvent.StopEnded event) {
         RunId run = event.stop().run();
         OwnedJob job = board.jobs.get(run.job());
@@ -493,7 +462,7 @@
 
     void onTick() {
         dropDetached();
-        expireKept();
+        kept.expire(board.now);
         for (OwnedJob j : board.jobs.values()) {
             for (OwnedTask t : j.tasks) {
                 check(t);
@@ -510,17 +479,10 @@
         }
     }
 
-    private void expireKept() {
-        Iterator<Kept> i = kept.values().iterator();
-        while (i.hasNext() && i.next().untilMs() <= board.now) {
-            i.remove();
-        }
-    }
-
     /** Refuses jobs of which nothing was started and that can not be answered in time to be of use. */
     private void refuseHopeless() {
         for (OwnedJob j : new ArrayList<>(board.jobs.values())) {
-            if (!j.ending && !j.everStarted && planner.isHopeless(j, board.now)) {
+            if (!j.ending && !j.everStarted && j.active == 0 && planner.isHopeless(j, board.now)) {
                 JobOutcome outcome = j.resumed
                         ? new JobOutcome.Unknown("its runs under the last owner are unknown")
                         : new JobOutcome.Refused("no room in time", MIN_RETRY_AFTER_MS);
@@ -559,7 +521,6 @@
         LeasedEndpoint e = place.endpoint();
         t.attempt++;
         t.startedAtMs = board.now;
-        t.job.everStarted = true;
         t.job.set(t, OwnedTask.State.STARTING);
         e.add(t);
         long deadline = e.extend(board.now, LeaseController.LEASE_MS);
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnedJob.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnedJob.java
@@ -25,6 +25,7 @@
     /** When an earlier owner's job was handed over; its unheard runs last no longer than a lease from then. */
     long handedOverAtMs;
 
+    /** Whether a run of a task may have begun. */
     boolean everStarted;
     /** Whether the job has ended for its callers and only its runs are still being stopped. */
     boolean ending;
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnershipController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnershipController.java
@@ -265,7 +265,7 @@
         }
     }
 
-    void onTick(List<VmContact> attached) {
+    void onTick() {
         endDoubt();
         if (board.isOwner()) {
             return;
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
@@ -128,7 +128,7 @@
     }
 
     private void tick() {
-        ownership.onTick(List.copyOf(attached));
+        ownership.onTick();
         entry.onTick();
         if (board.isOwner()) {
             jobs.leases().onTick();
