Forget ends of earlier owners' runs that no job asked for

Cause: ends of runs whose jobs were withdrawn under an earlier owner were kept for good, a map without a bound.

--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseController.java
@@ -37,6 +37,9 @@
     /** Within this time of taking over, the entry VMs hand their jobs over again, in milliseconds. */
     private static final long STRAY_MS = 500;
 
+    /** Ends of runs whose jobs were not handed over within this time are forgotten, in milliseconds. */
+    private static final long TAKE_OVER_MS = 4 * STRAY_MS;
+
     /** The same within a zone that goes on alone, whose few VMs are near; jobs of VMs elsewhere wait for it to pass. */
     private static final long ZONE_STRAY_MS = 200;
 
@@ -171,7 +174,15 @@
         strayDone.clear();
     }
 
+    /** Returns whether jobs of an earlier owner may still be handed over whose runs end before. */
+    private boolean isTakingOver() {
+        return board.now - board.ownerSinceMs < TAKE_OVER_MS;
+    }
+
     void onTick() {
+        if (!isTakingOver()) {
+            strayDone.clear();
+        }
         for (LeasedEndpoint e : new ArrayList<>(board.endpoints.values())) {
             if (!e.holding && board.now >= e.nextHoldAtMs) {
                 hold(e);
@@ -297,7 +308,7 @@
             return;
         }
         e.strays.remove(end.run());
-        if (end.cause() == RunEnd.Cause.DONE && !listener.onStrayDone(end.run())) {
+        if (end.cause() == RunEnd.Cause.DONE && !listener.onStrayDone(end.run()) && isTakingOver()) {
             strayDone
                     .computeIfAbsent(end.run().job(), j -> new HashSet<>())
                     .add(end.run().task());
