Let an owner that started lately wait for runs that it cannot know of

Cause: the owner had started while a zone was cut off. Entries of that zone's endpoints had left the store before, so its list never held them; "every endpoint was heard" was true while a zone's owner still ran tasks there. Ruled out: endpoints forgotten by a VM that knew them (Departed works), the wait of 1.6 s itself.

The list counts as whole only when it was read for 15 s, the time that an endpoint that left it may be alive; until then resumed jobs wait 1.6 s.

The simulation did not lapse entries. It does now, cuts last up to 10 s, most VMs die at once, owners die with orders under way, and VMs are up for 18 s before the faults. A fresh job now adopts strays, and fresh jobs after an owner that lasted under 2.3 s wait until all listed endpoints were heard. A detach that overtook the next attach was a fault of the simulation.

--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
@@ -133,6 +133,9 @@
         board.jobs.put(spec.id(), job);
         if (p.isResumed()) {
             resume(job, p);
+        } else {
+            // Its caller may have sent it before to a VM that is gone, and so may be the owner of that time.
+            leases.adopt(job);
         }
         board.placementDue = true;
     }
@@ -495,7 +498,8 @@
     /** Starts what can be started now. */
     void place() {
         board.placementDue = false;
-        long heardSinceMs = leases.allHeardSinceMs();
+        long allHeardSinceMs = leases.allHeardSinceMs();
+        boolean freshMayRun = !board.followsShortOwner || leases.knownHeardSinceMs() >= board.ownerSinceMs;
         long latestHandoverMs = Long.MIN_VALUE;
         List<OwnedJob> waiting = new ArrayList<>();
         for (OwnedJob j : board.jobs.values()) {
@@ -503,11 +507,12 @@
             if (j.waiting == 0 || j.ending || !attached) {
                 continue;
             }
-            boolean heard = heardSinceMs >= j.handedOverAtMs;
-            if (!j.resumed || heard || board.now - j.handedOverAtMs >= EARLIER_RUNS_MS) {
+            long sinceMs = j.resumed ? j.handedOverAtMs : board.ownerSinceMs;
+            boolean mayRun = j.resumed ? allHeardSinceMs >= sinceMs : freshMayRun;
+            if (mayRun || board.now - sinceMs >= EARLIER_RUNS_MS) {
                 waiting.add(j);
             } else {
-                latestHandoverMs = Math.max(latestHandoverMs, j.handedOverAtMs);
+                latestHandoverMs = Math.max(latestHandoverMs, sinceMs);
             }
         }
         leases.probe(latestHandoverMs);
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseController.java
@@ -53,6 +53,8 @@
 
     private final Map<String, Departed> departed = new HashMap<>();
     private long listAskedAtMs = Long.MIN_VALUE;
+    /** When the list was read first, in milliseconds; endpoints that had left it before are not known. */
+    private long listedSinceMs = Long.MAX_VALUE;
 
     private record Departed(PoolEndpoint endpoint, long sinceMs) {}
 
@@ -101,6 +103,7 @@
         }
         departed.values().removeIf(d -> listed.containsKey(d.endpoint().id()) || board.now - d.sinceMs() > DEPARTED_MS);
         listAskedAtMs = event.askedAtMs();
+        listedSinceMs = Math.min(listedSinceMs, event.askedAtMs());
         board.registered = event.endpoints();
         if (board.isOwner()) {
             merge();
@@ -379,9 +382,15 @@
 
     /**
      * Returns until when a handover may have happened so that every endpoint has told since, under the token in force,
-     * what runs there.
+     * what runs there. A VM that started lately may not know all endpoints: those of a zone that is cut off have left the
+     * list, though the zone's owner goes on using them.
      */
     long allHeardSinceMs() {
+        return board.now - listedSinceMs >= DEPARTED_MS ? knownHeardSinceMs() : Long.MIN_VALUE;
+    }
+
+    /** The same for the endpoints that are known. */
+    long knownHeardSinceMs() {
         if (board.role != OwnerRole.OWNER || listAskedAtMs < board.ownerSinceMs) {
             return Long.MIN_VALUE;
         }
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnershipController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnershipController.java
@@ -56,7 +56,14 @@
     /** How many VMs of a zone have tokens of their own within one round. */
     private static final int LOCAL_TOKENS = 16;
 
+    /**
+     * Callers send a job again 1.3 s after its VM was lost; the owner of that time stops its runs 0.5 s after it began, and
+     * takes up to 0.5 s to begin. One that lasted shorter than that, in milliseconds, may have left them.
+     */
+    private static final long SHORT_TENURE_MS = 2_300;
+
     private final PoolBoard board;
+    private long namedAtMs = Long.MIN_VALUE / 2;
     private List<VmContact> peers = List.of();
     private long end = -1;
     private long readAtMs = Long.MIN_VALUE / 2;
@@ -90,6 +97,7 @@
         if (changed) {
             board.newest = newest;
             use(newest.get());
+            namedAtMs = board.now;
         } else if (board.newest.isPresent()) {
             reconcile(board.newest.get());
         }
@@ -103,6 +111,7 @@
                 board.newest = Optional.of(mine);
                 end = mine.offset() + 1;
                 use(mine);
+                namedAtMs = board.now;
             }
         } else {
             board.log("event=claim_failed result=" + event.result().getClass().getSimpleName());
@@ -140,6 +149,7 @@
 
     private void become(OwnerRole role, long token) {
         boolean was = board.isOwner();
+        board.followsShortOwner = was ? board.followsShortOwner : board.now - namedAtMs < SHORT_TENURE_MS;
         board.role = role;
         board.token = token;
         board.ownerSinceMs = board.now;
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolBoard.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolBoard.java
@@ -28,6 +28,9 @@
     OwnerRole role = OwnerRole.FOLLOWER;
     long token;
     long ownerSinceMs;
+    /** Whether the owner before this one may have had no time to stop runs that nobody waits for. */
+    boolean followsShortOwner;
+
     String linkedOwner = "";
     boolean stopping;
     /** Since when the ownership is in doubt, as this VM may have stood still; 0 if it is not. */
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolCoreTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolCoreTest.java
@@ -203,4 +203,33 @@
         assertEquals(s.violations, List.of());
         assertCompleted(caller);
     }
+
+    @Test
+    public void anOwnerThatStartedWhileAZoneWasCutOffWaitsForTheRunsThere() {
+        PoolSimulation s = opened(9);
+        String zone = s.vms.stream()
+                .filter(v -> !v.contact.zone().equals(owner(s).contact.zone()))
+                .findFirst()
+                .orElseThrow()
+                .contact
+                .zone();
+        s.cutZone(zone);
+        s.runUntil(s.nowMs() + 3_000);
+        s.endpoints.stream().filter(e -> e.entry.zone().equals(zone)).forEach(e -> e.listed = false);
+        List<SimulatedVm> outside =
+                s.vms.stream().filter(v -> !v.contact.zone().equals(zone)).toList();
+        outside.forEach(s::kill);
+        outside.forEach(s::start);
+        s.runUntil(s.nowMs() + 8_000);
+        SimulatedVm inside = s.vms.stream()
+                .filter(v -> v.contact.zone().equals(zone))
+                .findFirst()
+                .orElseThrow();
+        PoolSimulation.Caller caller = s.submitAt(inside, PoolJobs.patientJob("job-1", 2, 1_200));
+        s.runUntil(s.nowMs() + 300);
+        s.cuts.clear();
+        s.runUntil(s.nowMs() + 6_000);
+        assertEquals(s.violations, List.of());
+        assertCompleted(caller);
+    }
 }
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolRandomTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolRandomTest.java
@@ -16,7 +16,9 @@
     private static final int FIRST_SEED = Integer.getInteger("pool.seed", 1);
     private static final int SEEDS = Integer.getInteger("pool.seeds", 150);
     private static final int PLANTED_SEEDS = 200;
-    private static final long WARM_UP_MS = 3_000;
+    /** Longer than an endpoint counts as alive after it left the list, so that the VMs know all of them, in milliseconds. */
+    private static final long WARM_UP_MS = 18_000;
+
     private static final long FAULTS_MS = 25_000;
     private static final long RECOVERY_MS = 20_000;
 
@@ -149,16 +151,17 @@
 
         private void inject() {
             long forMs = 300 + r.nextInt(5_000);
-            switch (r.nextInt(11)) {
+            switch (r.nextInt(12)) {
                 case 0 -> killOwner(forMs);
                 case 1 -> kill(s.vms.get(r.nextInt(s.vms.size())), forMs);
+                case 11 -> killMost(forMs);
                 case 2 -> freeze(s.vms.get(r.nextInt(s.vms.size())), forMs);
                 case 3 ->
                     s.vms.stream()
                             .filter(v -> v.alive && v.isOwner())
                             .findFirst()
                             .ifPresent(v -> freeze(v, forMs));
-                case 4 -> cutZone(forMs);
+                case 4 -> cutZone(2 * forMs);
                 case 5 -> cutVm(forMs);
                 case 6 -> {
                     s.storeDown = true;
@@ -176,6 +179,8 @@
                 case 9 -> {
                     s.lateOrders = 0.1;
                     s.after(forMs, () -> s.lateOrders = 0);
+                    // Orders of an owner that is gone by then.
+                    s.after(r.nextInt((int) forMs), () -> killOwner(forMs));
                 }
                 default -> crash(s.endpoints.get(r.nextInt(s.endpoints.size())), forMs);
             }
@@ -185,6 +190,16 @@
             s.vms.stream().filter(v -> v.alive && v.isOwner()).findFirst().ifPresent(v -> kill(v, forMs));
         }
 
+        /** Kills all VMs but those of one zone, which start again soon and know nothing of before. */
+        private void killMost(long forMs) {
+            String zone = "zone-" + r.nextInt(3);
+            for (SimulatedVm v : s.vms) {
+                if (!v.contact.zone().equals(zone)) {
+                    kill(v, forMs / 4);
+                }
+            }
+        }
+
         private void kill(SimulatedVm vm, long forMs) {
             if (vm.alive) {
                 s.note("owner or VM killed: vm-" + vm.index + " for " + forMs);
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolSimulation.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolSimulation.java
@@ -18,6 +18,8 @@
     private static final long CALL_TIMEOUT_MS = 300;
     private static final long RESEND_MS = 1_300;
     private static final long ENDPOINT_STEP_MS = 5;
+    private static final long ENTRY_HEARTBEAT_MS = 1_500;
+    private static final long ENTRY_LAPSE_MS = 3 * ENTRY_HEARTBEAT_MS;
 
     final Random random;
     final List<SimulatedVm> vms = new ArrayList<>();
@@ -69,6 +71,17 @@
             endpoints.add(new SimulatedEndpoint(this, "endpoint-" + i, "zone-" + i % 3, random.nextInt(100_000)));
         }
         advanceEndpoints();
+        register();
+    }
+
+    /** Renews the entries of the endpoints that reach the store; others lapse. */
+    private void register() {
+        for (SimulatedEndpoint e : endpoints) {
+            if (e.alive && !storeDown && !isCut(e.id, "store")) {
+                e.listedUntilMs = now + ENTRY_LAPSE_MS;
+            }
+        }
+        after(ENTRY_HEARTBEAT_MS, this::register);
     }
 
     long nowMs() {
@@ -206,7 +219,7 @@
     private void readEndpoints(SimulatedVm vm) {
         if (storeAnswers(vm)) {
             List<PoolEndpoint> list = endpoints.stream()
-                    .filter(e -> e.alive && e.listed)
+                    .filter(e -> e.alive && e.listed && now < e.listedUntilMs)
                     .map(e -> e.entry)
                     .toList();
             deliver(vm, 4, new PoolEvent.EndpointsRead(list, vm.clockMs()));
@@ -281,10 +294,17 @@
     private void unlink(SimulatedVm vm) {
         vm.linked = false;
         SimulatedVm peer = byAddress(vm.linkTarget);
-        if (peer.alive && !isCut(vm.contact.address(), vm.linkTarget)) {
-            deliver(peer, 2, new PoolEvent.EntryDetached(vm.contact));
+        String target = vm.linkTarget;
+        if (peer.alive && !isCut(vm.contact.address(), target)) {
+            // Before the next link of the same VMs: the other end knows which of its links was closed.
+            deliver(peer, 1, new PoolEvent.EntryDetached(vm.contact));
         } else if (peer.alive) {
-            deliver(peer, SILENT_MS, new PoolEvent.EntryDetached(vm.contact));
+            long peerLife = peer.life();
+            after(SILENT_MS, () -> {
+                if (!vm.linked || !vm.linkTarget.equals(target)) {
+                    peer.deliver(peerLife, new PoolEvent.EntryDetached(vm.contact));
+                }
+            });
         }
     }
 
@@ -400,7 +420,8 @@
         long life = vm.life();
         boolean lost = random.nextDouble() < lostAnswers;
         boolean late = random.nextDouble() < lateOrders;
-        long delay = late ? 200 + random.nextInt(6_000) : 1;
+        // Half of them before the start's deadline, where only the fence stops them.
+        long delay = late ? 200 + random.nextInt(random.nextBoolean() ? 700 : 6_000) : 1;
         if (late || lost || reach(vm, s.endpoint().id()).isEmpty()) {
             after(CALL_TIMEOUT_MS, () -> vm.deliver(life, new PoolEvent.StartEnded(s, StartResult.UNANSWERED)));
         }
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedEndpoint.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedEndpoint.java
@@ -15,9 +15,12 @@
     final Map<RunId, Long> running = new HashMap<>();
     PoolEndpoint entry;
     boolean alive = true;
-    /** Whether its entry stands in the store. */
+    /** Whether its entry stands in the store while it reaches the store. */
     boolean listed = true;
 
+    /** Until when its entry stands in the store without another heartbeat. */
+    long listedUntilMs;
+
     boolean fences = true;
     boolean checksDeadline = true;
     boolean enforcesLease = true;
