Compare records with what peers and checkpoints judged when a ticket stream goes back

Tracing on found three more: a checkpoint record in the place of a peer's ticket, peers believed after a contradiction, and loss hidden by a ticket known only by a peer.

Four tests in TicketReplayTest failed before.

--- a/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/Ticket.java
+++ b/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/Ticket.java
@@ -55,16 +55,17 @@
       "eadProto\0224\n\007records\030\001 \003(\0132#.gooseberrypi" +
       "er.peer.LogRecordProto\022\027\n\017after_unique_i" +
       "d\030\002 \001(\t\"5\n\016TicketAskProto\022\024\n\014after_numbe" +
-      "r\030\001 \001(\003\022\r\n\005whole\030\002 \001(\010\"e\n\017TicketPartProt" +
-      "o\022\016\n\006number\030\001 \001(\003\022\026\n\016through_offset\030\002 \001(" +
-      "\003\022\r\n\005index\030\003 \001(\005\022\r\n\005count\030\004 \001(\005\022\014\n\004data\030" +
-      "\005 \001(\014\"\300\001\n\022TicketMessageProto\0228\n\006spread\030\001" +
-      " \001(\0132&.gooseberrypier.peer.TicketSpreadP" +
-      "rotoH\000\0222\n\003ask\030\002 \001(\0132#.gooseberrypier.pee" +
-      "r.TicketAskProtoH\000\0224\n\004part\030\003 \001(\0132$.goose" +
-      "berrypier.peer.TicketPartProtoH\000B\006\n\004kind" +
-      "B\037\n\033org.gooseberrypier.protocolP\001b\006proto" +
-      "3"
+      "r\030\001 \001(\003\022\r\n\005whole\030\002 \001(\010\"\225\001\n\017TicketPartPro" +
+      "to\022\016\n\006number\030\001 \001(\003\022\026\n\016through_offset\030\002 \001" +
+      "(\003\022\r\n\005index\030\003 \001(\005\022\r\n\005count\030\004 \001(\005\022\014\n\004data" +
+      "\030\005 \001(\014\022\033\n\016through_digest\030\006 \001(\003H\000\210\001\001B\021\n\017_" +
+      "through_digest\"\300\001\n\022TicketMessageProto\0228\n" +
+      "\006spread\030\001 \001(\0132&.gooseberrypier.peer.Tick" +
+      "etSpreadProtoH\000\0222\n\003ask\030\002 \001(\0132#.gooseberr" +
+      "ypier.peer.TicketAskProtoH\000\0224\n\004part\030\003 \001(" +
+      "\0132$.gooseberrypier.peer.TicketPartProtoH" +
+      "\000B\006\n\004kindB\037\n\033org.gooseberrypier.protocol" +
+      "P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -93,7 +94,7 @@
     internal_static_gooseberrypier_peer_TicketPartProto_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_gooseberrypier_peer_TicketPartProto_descriptor,
-        new java.lang.String[] { "Number", "ThroughOffset", "Index", "Count", "Data", });
+        new java.lang.String[] { "Number", "ThroughOffset", "Index", "Count", "Data", "ThroughDigest", });
     internal_static_gooseberrypier_peer_TicketMessageProto_descriptor =
       getDescriptor().getMessageTypes().get(4);
     internal_static_gooseberrypier_peer_TicketMessageProto_fieldAccessorTable = new
--- a/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/TicketPartProto.java
+++ b/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/TicketPartProto.java
@@ -44,6 +44,7 @@
             org.gooseberrypier.protocol.TicketPartProto.class, org.gooseberrypier.protocol.TicketPartProto.Builder.class);
   }
 
+  private int bitField0_;
   public static final int NUMBER_FIELD_NUMBER = 1;
   private long number_ = 0L;
   /**
@@ -99,6 +100,25 @@
     return data_;
   }
 
+  public static final int THROUGH_DIGEST_FIELD_NUMBER = 6;
+  private long throughDigest_ = 0L;
+  /**
+   * <code>optional int64 through_digest = 6;</code>
+   * @return Whether the throughDigest field is set.
+   */
+  @java.lang.Override
+  public boolean hasThroughDigest() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <code>optional int64 through_digest = 6;</code>
+   * @return The throughDigest.
+   */
+  @java.lang.Override
+  public long getThroughDigest() {
+    return throughDigest_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -128,6 +148,9 @@
     if (!data_.isEmpty()) {
       output.writeBytes(5, data_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeInt64(6, throughDigest_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -157,6 +180,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBytesSize(5, data_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(6, throughDigest_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -182,6 +209,11 @@
         != other.getCount()) return false;
     if (!getData()
         .equals(other.getData())) return false;
+    if (hasThroughDigest() != other.hasThroughDigest()) return false;
+    if (hasThroughDigest()) {
+      if (getThroughDigest()
+          != other.getThroughDigest()) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -205,6 +237,11 @@
     hash = (53 * hash) + getCount();
     hash = (37 * hash) + DATA_FIELD_NUMBER;
     hash = (53 * hash) + getData().hashCode();
+    if (hasThroughDigest()) {
+      hash = (37 * hash) + THROUGH_DIGEST_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getThroughDigest());
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -345,6 +382,7 @@
       index_ = 0;
       count_ = 0;
       data_ = com.google.protobuf.ByteString.EMPTY;
+      throughDigest_ = 0L;
       return this;
     }
 
@@ -393,6 +431,12 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.data_ = data_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.throughDigest_ = throughDigest_;
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -454,6 +498,9 @@
       if (other.getData() != com.google.protobuf.ByteString.EMPTY) {
         setData(other.getData());
       }
+      if (other.hasThroughDigest()) {
+        setThroughDigest(other.getThroughDigest());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -505,6 +552,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 42
+            case 48: {
+              throughDigest_ = input.readInt64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -681,6 +733,46 @@
       onChanged();
       return this;
     }
+
+    private long throughDigest_ ;
+    /**
+     * <code>optional int64 through_digest = 6;</code>
+     * @return Whether the throughDigest field is set.
+     */
+    @java.lang.Override
+    public boolean hasThroughDigest() {
+      return ((bitField0_ & 0x00000020) != 0);
+    }
+    /**
+     * <code>optional int64 through_digest = 6;</code>
+     * @return The throughDigest.
+     */
+    @java.lang.Override
+    public long getThroughDigest() {
+      return throughDigest_;
+    }
+    /**
+     * <code>optional int64 through_digest = 6;</code>
+     * @param value The throughDigest to set.
+     * @return This builder for chaining.
+     */
+    public Builder setThroughDigest(long value) {
+
+      throughDigest_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>optional int64 through_digest = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearThroughDigest() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      throughDigest_ = 0L;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/TicketPartProtoOrBuilder.java
+++ b/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/TicketPartProtoOrBuilder.java
@@ -37,4 +37,15 @@
    * @return The data.
    */
   com.google.protobuf.ByteString getData();
+
+  /**
+   * <code>optional int64 through_digest = 6;</code>
+   * @return Whether the throughDigest field is set.
+   */
+  boolean hasThroughDigest();
+  /**
+   * <code>optional int64 through_digest = 6;</code>
+   * @return The throughDigest.
+   */
+  long getThroughDigest();
 }
--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/peer/TicketMessageCodec.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/peer/TicketMessageCodec.java
@@ -17,6 +17,9 @@
 /** Turns messages about tickets into their protocol form and back. */
 final class TicketMessageCodec {
 
+    /** Stands for the digest of a record that the sender does not know. */
+    private static final long UNKNOWN_DIGEST = -1;
+
     private TicketMessageCodec() {}
 
     static TicketMessageProto toProto(TicketMessage message) {
@@ -49,6 +52,7 @@
         return TicketPartProto.newBuilder()
                 .setNumber(part.number())
                 .setThroughOffset(part.throughOffset())
+                .setThroughDigest(part.throughDigest())
                 .setIndex(part.index())
                 .setCount(part.count())
                 .setData(bytes(part.data()))
@@ -59,6 +63,7 @@
         return new TicketMessage.Part(
                 proto.getNumber(),
                 proto.getThroughOffset(),
+                proto.hasThroughDigest() ? proto.getThroughDigest() : UNKNOWN_DIGEST,
                 proto.getIndex(),
                 proto.getCount(),
                 Payload.wrap(proto.getData().toByteArray()));
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/ticket/CheckpointAssembly.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/ticket/CheckpointAssembly.java
@@ -16,6 +16,7 @@
     private Member from;
     private long number;
     private long throughOffset;
+    private long throughDigest;
     private Payload[] parts = new Payload[0];
     private int missing;
     private long bytes;
@@ -59,6 +60,7 @@
         return sender.equals(from)
                 && part.number() == number
                 && part.throughOffset() == throughOffset
+                && part.throughDigest() == throughDigest
                 && part.count() == parts.length;
     }
 
@@ -66,6 +68,7 @@
         from = sender;
         number = part.number();
         throughOffset = part.throughOffset();
+        throughDigest = part.throughDigest();
         parts = new Payload[part.count()];
         missing = part.count();
         bytes = 0;
@@ -76,10 +79,10 @@
         for (Payload p : parts) {
             out.writeBytes(p.bytes());
         }
-        long through = throughOffset;
+
         clear();
         Checkpoint checkpoint = CheckpointCodec.parse(Payload.wrap(out.toByteArray()));
-        return new Checkpoint(through, checkpoint.configuration());
+        return new Checkpoint(throughOffset, throughDigest, checkpoint.configuration());
     }
 
     private void clear() {
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/ticket/TicketSpreader.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/ticket/TicketSpreader.java
@@ -136,7 +136,8 @@
         for (int i = 0; i < count; i++) {
             int end = Math.min(bytes.length, (i + 1) * PART_BYTES);
             Payload data = Payload.wrap(java.util.Arrays.copyOfRange(bytes, i * PART_BYTES, end));
-            TicketMessage part = new TicketMessage.Part(inForce.number(), known.throughOffset(), i, count, data);
+            TicketMessage part = new TicketMessage.Part(
+                    inForce.number(), known.throughOffset(), known.throughDigest(), i, count, data);
             context.emit(new Effect.SendPeer(peer, part));
         }
     }
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/peer/TicketMessage.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/peer/TicketMessage.java
@@ -36,9 +36,11 @@
      *
      * @param number the number of the ticket in force at the sender
      * @param throughOffset the offset that the checkpoint covers, -1 if the sender does not vouch for any
+     * @param throughDigest the CRC-32C of the record at that offset, -1 if it is not known
      * @param index the place of this part, from 0
      * @param count how many parts there are
      * @param data the bytes of this part
      */
-    record Part(long number, long throughOffset, int index, int count, Payload data) implements TicketMessage {}
+    record Part(long number, long throughOffset, long throughDigest, int index, int count, Payload data)
+            implements TicketMessage {}
 }
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/ticket/CheckpointCodec.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/ticket/CheckpointCodec.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.function.Function;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import org.gooseberrypier.errors.TicketFormatException;
 import org.gooseberrypier.lib.Payload;
@@ -75,6 +76,7 @@
 
     private record Document(
             long throughOffset,
+            @JsonInclude(JsonInclude.Include.NON_NULL) Long throughDigest,
             long number,
             String uniqueId,
             long offset,
@@ -88,6 +90,7 @@
             Configuration c = checkpoint.configuration();
             return new Document(
                     checkpoint.throughOffset(),
+                    checkpoint.throughDigest() == SeenRecords.UNKNOWN ? null : checkpoint.throughDigest(),
                     c.number(),
                     c.uniqueId(),
                     c.offset(),
@@ -114,7 +117,8 @@
                     index(teams, TeamSpec::id),
                     limits,
                     zoneSets);
-            return new Checkpoint(throughOffset, configuration);
+            long digest = throughDigest == null ? SeenRecords.UNKNOWN : throughDigest;
+            return new Checkpoint(throughOffset, digest, configuration);
         }
 
         private static <K, V> Map<K, V> index(List<V> specs, Function<V, K> id) {
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/ticket/TicketReplay.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/ticket/TicketReplay.java
@@ -19,14 +19,13 @@
  */
 public final class TicketReplay {
 
-    private static final long NO_HASH = Long.MIN_VALUE;
-
     private final HeldBackRecords heldBack = new HeldBackRecords();
+    private final SeenRecords seen = new SeenRecords();
     private final List<TicketOutcome> outcomes = new ArrayList<>();
     private Configuration inForce = Configuration.NONE;
     private long throughOffset = -1;
     private long lastSeenOffset = -1;
-    private long lastSeenHash = NO_HASH;
+
     private boolean synchronised = true;
     private boolean rewound;
     private boolean unconfirmed;
@@ -64,7 +63,11 @@
      * @return the checkpoint; its offset is -1 while the replay is not synchronised
      */
     public Checkpoint checkpoint() {
-        return new Checkpoint(synchronised ? Math.max(throughOffset, inForce.offset()) : -1, inForce);
+        if (!synchronised) {
+            return new Checkpoint(-1, inForce);
+        }
+        long through = Math.max(throughOffset, inForce.offset());
+        return new Checkpoint(through, seen.at(through), inForce);
     }
 
     /**
@@ -117,7 +120,7 @@
                     + peer.configuration().number()));
             return drain();
         }
-        if (!synchronised && covers(peer) && isNotOlder(peer)) {
+        if (!synchronised && covers(peer) && isNotOlder(peer) && isOfThisStream(peer)) {
             synchronise(peer, TicketOutcome.Source.PEER);
             return drain();
         }
@@ -164,6 +167,7 @@
             return;
         }
         synchronised = false;
+        rewound = true;
         heldBack.clear();
         outcomes.add(new TicketOutcome.Broken("a peer has accepted ticket " + number + " at offset " + offset
                 + ", where the stream read here shows something else"));
@@ -176,18 +180,20 @@
         rewound = true;
         synchronised = false;
         heldBack.clear();
+        seen.forgetFrom(nextOffset);
         outcomes.add(new TicketOutcome.Broken("the stream went back: its next offset is " + nextOffset + ", offset "
                 + Math.max(lastSeenOffset, throughOffset) + " was read before"));
     }
 
     private void noteLoss(long begin) {
-        long known = Math.max(Math.max(lastSeenOffset, throughOffset), inForce.offset());
+        // A ticket that only a peer told of may have been in records that the stream has lost since.
+        long confirmed = unconfirmed ? -1 : inForce.offset();
+        long known = Math.max(Math.max(lastSeenOffset, throughOffset), confirmed);
         if (begin <= known + 1) {
             return;
         }
         heldBack.clear();
         lastSeenOffset = begin - 1;
-        lastSeenHash = NO_HASH;
         if (synchronised && inForce.isPresent()) {
             outcomes.add(new TicketOutcome.Broken("the records at offsets " + (known + 1) + " to " + (begin - 1)
                     + " were lost before they were read"));
@@ -202,7 +208,7 @@
         }
         noteLoss(record.offset());
         lastSeenOffset = record.offset();
-        lastSeenHash = record.data().hashCode();
+        seen.put(record.offset(), SeenRecords.digest(record.data()));
         if (synchronised) {
             decide(record);
             return;
@@ -215,11 +221,14 @@
         }
     }
 
-    /** Finds out whether the stream still holds the last record that was seen. */
+    /** Finds out whether the stream still holds a record that was seen before. */
     private void compare(LogRecord record) {
-        boolean isOther = record.offset() == lastSeenOffset
-                && lastSeenHash != NO_HASH
-                && record.data().hashCode() != lastSeenHash;
+        long digest = SeenRecords.digest(record.data());
+        boolean isOther = seen.contradicts(record.offset(), digest);
+        if (isOther) {
+            seen.forgetFrom(record.offset());
+        }
+        seen.put(record.offset(), digest);
         if (isOther && !rewound) {
             rewound = true;
             synchronised = false;
@@ -249,14 +258,14 @@
 
     private void decide(LogRecord record) {
         throughOffset = Math.max(throughOffset, record.offset());
-        if (CheckpointCodec.isCheckpoint(record.data())) {
+        if (record.offset() == inForce.offset() && unconfirmed) {
+            confirmPeer(record);
+        } else if (CheckpointCodec.isCheckpoint(record.data())) {
             confirm(record);
         } else if (ResumeRecord.isResume(record.data())) {
             checkResume(record);
         } else if (record.offset() > inForce.offset()) {
             judge(record);
-        } else if (record.offset() == inForce.offset() && unconfirmed) {
-            confirmPeer(record);
         }
     }
 
@@ -280,6 +289,7 @@
             // Reported below like any other record that is not the one a peer passed on.
         }
         synchronised = false;
+        rewound = true;
         outcomes.add(new TicketOutcome.Broken("the record at offset " + record.offset() + " is not ticket "
                 + inForce.number() + " \"" + inForce.uniqueId() + "\" that a peer passed on"));
     }
@@ -305,7 +315,7 @@
         if (contradicts(checkpoint)) {
             outcomes.add(new TicketOutcome.Broken("the checkpoint at offset " + record.offset()
                     + " has another configuration of ticket " + inForce.number()));
-        } else if (covers(checkpoint) && isNotOlder(checkpoint)) {
+        } else if (covers(checkpoint) && isNotOlder(checkpoint) && isOfThisStream(checkpoint)) {
             synchronise(checkpoint, TicketOutcome.Source.CHECKPOINT);
         }
     }
@@ -336,8 +346,22 @@
         }
         if (throughOffset > lastSeenOffset) {
             lastSeenOffset = throughOffset;
-            lastSeenHash = NO_HASH;
+            if (throughOffset == checkpoint.throughOffset()) {
+                seen.put(throughOffset, checkpoint.throughDigest());
+            }
+        }
+    }
+
+    /**
+     * Returns whether a checkpoint was made from the stream that is read here: where the stream went back, its maker may
+     * still have the records that are gone.
+     */
+    private boolean isOfThisStream(Checkpoint checkpoint) {
+        long known = seen.at(checkpoint.throughOffset());
+        if (known == SeenRecords.UNKNOWN || checkpoint.throughDigest() == SeenRecords.UNKNOWN) {
+            return !rewound;
         }
+        return known == checkpoint.throughDigest();
     }
 
     private boolean covers(Checkpoint checkpoint) {
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/ticket/TicketReplayTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/ticket/TicketReplayTest.java
@@ -196,6 +196,50 @@
         assertTrue(outcomes.get(0) instanceof TicketOutcome.Broken, outcomes.toString());
     }
 
+    @Test
+    public void checkpointInThePlaceOfASpreadTicketIsFoundOut() {
+        TicketReplay replay = new TicketReplay();
+        read(replay, FIRST);
+        replay.spread("t-1", List.of(Tickets.record(1, Tickets.teams(2, "a", 1))));
+        replay.read(0, 2, List.of(Tickets.record(1, new Checkpoint(1, replay.inForce()))));
+        assertFalse(replay.isSynchronised());
+        replay.read(0, 3, List.of(Tickets.record(2, Tickets.teams(3, "on another base", 1))));
+        assertEquals(replay.inForce().number(), 2);
+    }
+
+    @Test
+    public void vmSynchronisedByAPeerNoticesThatTheStreamHoldsAnotherRecord() {
+        TicketReplay peer = new TicketReplay();
+        read(peer, FIRST, Tickets.record(1, Tickets.teams(2, "a", 1)), Tickets.record(2, "old"));
+        TicketReplay replay = new TicketReplay();
+        replay.read(1, 2, List.of(Tickets.record(1, Tickets.teams(2, "a", 1))));
+        replay.learn(peer.checkpoint());
+        assertTrue(replay.isSynchronised());
+        replay.read(1, 4, List.of(Tickets.record(2, "new"), Tickets.record(3, Tickets.teams(3, "b", 1))));
+        assertFalse(replay.isSynchronised());
+        assertEquals(replay.inForce().number(), 2);
+    }
+
+    @Test
+    public void peerWithAnotherRecordIsNotTrustedAfterTheStreamWentBack() {
+        TicketReplay peer = new TicketReplay();
+        read(peer, FIRST, Tickets.record(1, Tickets.teams(2, "a", 1)), Tickets.record(2, "old"));
+        TicketReplay replay = new TicketReplay();
+        replay.read(1, 3, List.of(Tickets.record(1, Tickets.teams(2, "a", 1)), Tickets.record(2, "new")));
+        replay.learn(peer.checkpoint());
+        assertFalse(replay.isSynchronised());
+    }
+
+    @Test
+    public void recordsLostBeforeThePeersTicketWasSeenStopVerdicts() {
+        TicketReplay replay = new TicketReplay();
+        read(replay, FIRST);
+        replay.spread("t-1", List.of(Tickets.record(1, Tickets.teams(2, "a", 1))));
+        replay.read(2, 3, List.of(Tickets.record(2, Tickets.teams(3, "on another base", 1))));
+        assertFalse(replay.isSynchronised());
+        assertEquals(replay.inForce().number(), 2);
+    }
+
     @Test
     public void checkpointKeepsEverything() throws Exception {
         TicketReplay replay = new TicketReplay();
