--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
@@ -45,6 +45,9 @@
 
     private static final long MIN_RETRY_AFTER_MS = 500;
 
+    /** The load of so much later can not be told from that of the last two seconds, in milliseconds. */
+    private static final long MAX_RETRY_AFTER_MS = 5_000;
+
     /** A job that no endpoint can hold had better not come back before endpoints have changed, in milliseconds. */
     private static final long NEVER_RETRY_AFTER_MS = 60_000;
 
@@ -126,7 +129,7 @@
         planner.observe(job, board.now);
         double waitMs = planner.expectedWaitMs(job, board.jobs.values(), board.endpoints.values(), board.now);
         if (!p.isResumed() && waitMs > planner.patienceMs(job, board.now)) {
-            refuse(from, spec, "too much work waits", (long) waitMs);
+            refuse(from, spec, "too much work waits", (long) Math.min(waitMs, MAX_RETRY_AFTER_MS));
             return;
         }
         job.subscribers.put(from, 0L);
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolCoreTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolCoreTest.java
@@ -1,5 +1,6 @@
 package org.gooseberrypier.pool;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 
@@ -123,6 +124,25 @@
         assertEquals(starts(s), 0);
     }
 
+    @Test
+    public void aCallerIsToldToComeBackWithinSecondsWhileMoreComesThanCanBeDone() {
+        PoolSimulation s = opened(2);
+        List<PoolSimulation.Caller> callers = new ArrayList<>();
+        for (int i = 0; i < 400; i++) {
+            PoolJob job = PoolJobs.job("job-" + i, 4, i % 2 == 0 ? 100 : 400);
+            s.after(5L * i, () -> callers.add(s.submit(job)));
+        }
+        s.runUntil(s.nowMs() + 4_000);
+        List<Long> after = new ArrayList<>();
+        for (PoolSimulation.Caller c : callers) {
+            if (!c.answers.isEmpty() && c.answers.get(0) instanceof JobOutcome.Refused r) {
+                after.add(r.retryAfterMs());
+            }
+        }
+        assertTrue(after.size() > 100, "refused " + after.size());
+        assertTrue(after.stream().allMatch(ms -> ms >= 500 && ms <= 5_000), after.toString());
+    }
+
     @Test
     public void aRunThatStandsStillIsMovedToAnotherEndpoint() {
         PoolSimulation s = opened(2);
