Let the largest VM own the pool

A VM's contact tells its processor; successors, zones that go on alone and planned hand-overs go by size, and an owner offers the pool to a VM that is 1.5 times as large once it has been steady for 4 s.

Adopted runs teach nothing, and a run is moved twice at most (aRunThatTakesLongerThanItsJobSaysEndsAllTheSame). - The list of VMs, sent once, was lost on a link that had not been reported open; it is sent each second. - Successors took their turns from the loss of the link although they learned later that the owner's VM refuses; two claimed at the same time.

--- a/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/Pool.java
+++ b/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/Pool.java
@@ -69,45 +69,45 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npool.proto\022\023gooseberrypier.pool\"D\n\016VmC" +
+      "\n\npool.proto\022\023gooseberrypier.pool\"Y\n\016VmC" +
       "ontactProto\022\017\n\007address\030\001 \001(\t\022\014\n\004zone\030\002 \001" +
-      "(\t\022\023\n\013incarnation\030\003 \001(\006\"\233\002\n\014PoolJobProto" +
-      "\022\n\n\002id\030\001 \001(\t\022\r\n\005queue\030\002 \001(\t\022\017\n\007service\030\003" +
-      " \001(\t\022\017\n\007payload\030\004 \001(\t\022\r\n\005tasks\030\005 \001(\005\022\023\n\013" +
-      "milli_cores\030\006 \001(\003\022\021\n\tmemory_mb\030\007 \001(\003\022\023\n\013" +
-      "declared_ms\030\010 \001(\003\022\020\n\010priority\030\t \001(\005\022\024\n\014m" +
-      "ax_failures\030\n \001(\005\022\017\n\007stretch\030\013 \001(\001\022\031\n\021ta" +
-      "rget_latency_ms\030\014 \001(\003\022\026\n\016preferred_rack\030" +
-      "\r \001(\t\022\026\n\016required_label\030\016 \001(\t\"u\n\014Present" +
-      "Proto\022.\n\003job\030\001 \001(\0132!.gooseberrypier.pool" +
-      ".PoolJobProto\022\016\n\006age_ms\030\002 \001(\003\022\021\n\thandove" +
-      "rs\030\003 \001(\005\022\022\n\ndone_tasks\030\004 \003(\005\"\252\001\n\014ToOwner" +
-      "Proto\0224\n\005hello\030\001 \001(\0132#.gooseberrypier.po" +
-      "ol.VmContactProtoH\000\0224\n\007present\030\002 \001(\0132!.g" +
-      "ooseberrypier.pool.PresentProtoH\000\022\022\n\010wit" +
-      "hdraw\030\003 \001(\tH\000\022\017\n\005alive\030\004 \001(\010H\000B\t\n\007messag" +
-      "e\"*\n\rTaskDoneProto\022\013\n\003job\030\001 \001(\t\022\014\n\004task\030" +
-      "\002 \001(\005\"\322\001\n\rFinishedProto\022\013\n\003job\030\001 \001(\t\022;\n\007" +
-      "outcome\030\002 \001(\0162*.gooseberrypier.pool.Fini" +
-      "shedProto.Outcome\022\016\n\006reason\030\003 \001(\t\022\026\n\016ret" +
-      "ry_after_ms\030\004 \001(\003\"O\n\007Outcome\022\017\n\013UNSPECIF" +
-      "IED\020\000\022\r\n\tCOMPLETED\020\001\022\n\n\006FAILED\020\002\022\013\n\007REFU" +
-      "SED\020\003\022\013\n\007UNKNOWN\020\004\"\316\001\n\022PoolHeartbeatProt" +
-      "o\022\r\n\005token\030\001 \001(\003\0222\n\005peers\030\002 \003(\0132#.gooseb" +
-      "errypier.pool.VmContactProto\022E\n\007waiting\030" +
-      "\003 \003(\01324.gooseberrypier.pool.PoolHeartbea" +
-      "tProto.WaitingEntry\032.\n\014WaitingEntry\022\013\n\003k" +
-      "ey\030\001 \001(\t\022\r\n\005value\030\002 \001(\005:\0028\001\"\360\001\n\014ToEntryP" +
-      "roto\0227\n\ttask_done\030\001 \001(\0132\".gooseberrypier" +
-      ".pool.TaskDoneProtoH\000\0226\n\010finished\030\002 \001(\0132" +
-      "\".gooseberrypier.pool.FinishedProtoH\000\022<\n" +
-      "\theartbeat\030\003 \001(\0132\'.gooseberrypier.pool.P" +
-      "oolHeartbeatProtoH\000\022\023\n\tnot_owner\030\004 \001(\003H\000" +
-      "\022\021\n\007welcome\030\005 \001(\010H\000B\t\n\007message2a\n\013PoolSe" +
-      "rvice\022R\n\006Attach\022!.gooseberrypier.pool.To" +
-      "OwnerProto\032!.gooseberrypier.pool.ToEntry" +
-      "Proto(\0010\001B\037\n\033org.gooseberrypier.protocol" +
-      "P\001b\006proto3"
+      "(\t\022\023\n\013incarnation\030\003 \001(\006\022\023\n\013milli_cores\030\004" +
+      " \001(\005\"\233\002\n\014PoolJobProto\022\n\n\002id\030\001 \001(\t\022\r\n\005que" +
+      "ue\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022\017\n\007payload\030\004 \001" +
+      "(\t\022\r\n\005tasks\030\005 \001(\005\022\023\n\013milli_cores\030\006 \001(\003\022\021" +
+      "\n\tmemory_mb\030\007 \001(\003\022\023\n\013declared_ms\030\010 \001(\003\022\020" +
+      "\n\010priority\030\t \001(\005\022\024\n\014max_failures\030\n \001(\005\022\017" +
+      "\n\007stretch\030\013 \001(\001\022\031\n\021target_latency_ms\030\014 \001" +
+      "(\003\022\026\n\016preferred_rack\030\r \001(\t\022\026\n\016required_l" +
+      "abel\030\016 \001(\t\"u\n\014PresentProto\022.\n\003job\030\001 \001(\0132" +
+      "!.gooseberrypier.pool.PoolJobProto\022\016\n\006ag" +
+      "e_ms\030\002 \001(\003\022\021\n\thandovers\030\003 \001(\005\022\022\n\ndone_ta" +
+      "sks\030\004 \003(\005\"\252\001\n\014ToOwnerProto\0224\n\005hello\030\001 \001(" +
+      "\0132#.gooseberrypier.pool.VmContactProtoH\000" +
+      "\0224\n\007present\030\002 \001(\0132!.gooseberrypier.pool." +
+      "PresentProtoH\000\022\022\n\010withdraw\030\003 \001(\tH\000\022\017\n\005al" +
+      "ive\030\004 \001(\010H\000B\t\n\007message\"*\n\rTaskDoneProto\022" +
+      "\013\n\003job\030\001 \001(\t\022\014\n\004task\030\002 \001(\005\"\322\001\n\rFinishedP" +
+      "roto\022\013\n\003job\030\001 \001(\t\022;\n\007outcome\030\002 \001(\0162*.goo" +
+      "seberrypier.pool.FinishedProto.Outcome\022\016" +
+      "\n\006reason\030\003 \001(\t\022\026\n\016retry_after_ms\030\004 \001(\003\"O" +
+      "\n\007Outcome\022\017\n\013UNSPECIFIED\020\000\022\r\n\tCOMPLETED\020" +
+      "\001\022\n\n\006FAILED\020\002\022\013\n\007REFUSED\020\003\022\013\n\007UNKNOWN\020\004\"" +
+      "\316\001\n\022PoolHeartbeatProto\022\r\n\005token\030\001 \001(\003\0222\n" +
+      "\005peers\030\002 \003(\0132#.gooseberrypier.pool.VmCon" +
+      "tactProto\022E\n\007waiting\030\003 \003(\01324.gooseberryp" +
+      "ier.pool.PoolHeartbeatProto.WaitingEntry" +
+      "\032.\n\014WaitingEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002" +
+      " \001(\005:\0028\001\"\360\001\n\014ToEntryProto\0227\n\ttask_done\030\001" +
+      " \001(\0132\".gooseberrypier.pool.TaskDoneProto" +
+      "H\000\0226\n\010finished\030\002 \001(\0132\".gooseberrypier.po" +
+      "ol.FinishedProtoH\000\022<\n\theartbeat\030\003 \001(\0132\'." +
+      "gooseberrypier.pool.PoolHeartbeatProtoH\000" +
+      "\022\023\n\tnot_owner\030\004 \001(\003H\000\022\021\n\007welcome\030\005 \001(\010H\000" +
+      "B\t\n\007message2a\n\013PoolService\022R\n\006Attach\022!.g" +
+      "ooseberrypier.pool.ToOwnerProto\032!.gooseb" +
+      "errypier.pool.ToEntryProto(\0010\001B\037\n\033org.go" +
+      "oseberrypier.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -118,7 +118,7 @@
     internal_static_gooseberrypier_pool_VmContactProto_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_gooseberrypier_pool_VmContactProto_descriptor,
-        new java.lang.String[] { "Address", "Zone", "Incarnation", });
+        new java.lang.String[] { "Address", "Zone", "Incarnation", "MilliCores", });
     internal_static_gooseberrypier_pool_PoolJobProto_descriptor =
       getDescriptor().getMessageTypes().get(1);
     internal_static_gooseberrypier_pool_PoolJobProto_fieldAccessorTable = new
--- a/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/VmContactProto.java
+++ b/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/VmContactProto.java
@@ -130,6 +130,21 @@
     return incarnation_;
   }
 
+  public static final int MILLI_CORES_FIELD_NUMBER = 4;
+  private int milliCores_ = 0;
+  /**
+   * <pre>
+   * In thousandths of a core.
+   * </pre>
+   *
+   * <code>int32 milli_cores = 4;</code>
+   * @return The milliCores.
+   */
+  @java.lang.Override
+  public int getMilliCores() {
+    return milliCores_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -153,6 +168,9 @@
     if (incarnation_ != 0L) {
       output.writeFixed64(3, incarnation_);
     }
+    if (milliCores_ != 0) {
+      output.writeInt32(4, milliCores_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -172,6 +190,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeFixed64Size(3, incarnation_);
     }
+    if (milliCores_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(4, milliCores_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -193,6 +215,8 @@
         .equals(other.getZone())) return false;
     if (getIncarnation()
         != other.getIncarnation()) return false;
+    if (getMilliCores()
+        != other.getMilliCores()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -211,6 +235,8 @@
     hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getIncarnation());
+    hash = (37 * hash) + MILLI_CORES_FIELD_NUMBER;
+    hash = (53 * hash) + getMilliCores();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -345,6 +371,7 @@
       address_ = "";
       zone_ = "";
       incarnation_ = 0L;
+      milliCores_ = 0;
       return this;
     }
 
@@ -387,6 +414,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.incarnation_ = incarnation_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.milliCores_ = milliCores_;
+      }
     }
 
     @java.lang.Override
@@ -446,6 +476,9 @@
       if (other.getIncarnation() != 0L) {
         setIncarnation(other.getIncarnation());
       }
+      if (other.getMilliCores() != 0) {
+        setMilliCores(other.getMilliCores());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -487,6 +520,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 25
+            case 32: {
+              milliCores_ = input.readInt32();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -679,6 +717,50 @@
       onChanged();
       return this;
     }
+
+    private int milliCores_ ;
+    /**
+     * <pre>
+     * In thousandths of a core.
+     * </pre>
+     *
+     * <code>int32 milli_cores = 4;</code>
+     * @return The milliCores.
+     */
+    @java.lang.Override
+    public int getMilliCores() {
+      return milliCores_;
+    }
+    /**
+     * <pre>
+     * In thousandths of a core.
+     * </pre>
+     *
+     * <code>int32 milli_cores = 4;</code>
+     * @param value The milliCores to set.
+     * @return This builder for chaining.
+     */
+    public Builder setMilliCores(int value) {
+
+      milliCores_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * In thousandths of a core.
+     * </pre>
+     *
+     * <code>int32 milli_cores = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearMilliCores() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      milliCores_ = 0;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/VmContactProtoOrBuilder.java
+++ b/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/VmContactProtoOrBuilder.java
@@ -37,4 +37,14 @@
    * @return The incarnation.
    */
   long getIncarnation();
+
+  /**
+   * <pre>
+   * In thousandths of a core.
+   * </pre>
+   *
+   * <code>int32 milli_cores = 4;</code>
+   * @return The milliCores.
+   */
+  int getMilliCores();
 }
--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolMessageCodec.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolMessageCodec.java
@@ -25,11 +25,12 @@
                 .setAddress(vm.address())
                 .setZone(vm.zone())
                 .setIncarnation(vm.incarnation())
+                .setMilliCores(vm.milliCores())
                 .build();
     }
 
     static VmContact decode(VmContactProto vm) {
-        return new VmContact(vm.getAddress(), vm.getZone(), vm.getIncarnation());
+        return new VmContact(vm.getAddress(), vm.getZone(), vm.getIncarnation(), vm.getMilliCores());
     }
 
     static ToOwnerProto encode(PoolMessage.ToOwner message) {
--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolVm.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolVm.java
@@ -77,7 +77,8 @@
         self = new VmContact(
                 builder.address.toString(),
                 builder.zone,
-                ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE));
+                ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE),
+                builder.milliCores);
         group = builder.group;
         store = builder.store;
         endpoints = builder.endpoints;
@@ -394,6 +395,7 @@
         private final EventLoopGroup group;
         private HostPort address;
         private String zone = "";
+        private int milliCores;
         private double remotePenalty = 1;
         private PoolStore store;
         private EndpointClient endpoints;
@@ -425,6 +427,17 @@
             return this;
         }
 
+        /**
+         * Sets the VM's processor, by which the owner is chosen.
+         *
+         * @param value thousandths of a core
+         * @return this builder
+         */
+        public Builder milliCores(int value) {
+            milliCores = value;
+            return this;
+        }
+
         /**
          * Sets how many times as long a task takes away from its data.
          *
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
@@ -43,6 +43,9 @@
     /** A run is moved only if that is this many times as fast: declared durations are off by 1.7 times, speeds by 1.7. */
     private static final double SLOW_FACTOR = 3;
 
+    /** A run that is slow wherever it was moved to is not slow but longer than its job says. */
+    private static final int MAX_MOVES = 2;
+
     private static final long MIN_RETRY_AFTER_MS = 500;
 
     /** The load of so much later can not be told from that of the last two seconds, in milliseconds. */
@@ -304,7 +307,7 @@
     /** Stops a run that would end later here than if it began anew elsewhere. Load pattern: slow and hanging endpoints. */
     private void moveIfSlow(OwnedTask t, int percent, long clockMs) {
         long sinceMs = clockMs - t.listedClockMs;
-        if (sinceMs < MIN_WATCH_MS) {
+        if (sinceMs < MIN_WATCH_MS || t.moves >= MAX_MOVES) {
             return;
         }
         int gained = Math.max(0, percent - t.percentAtListing);
@@ -313,6 +316,7 @@
         if (leftMs > SLOW_FACTOR * anewMs) {
             LeasedEndpoint e = t.endpoint;
             EndpointHealth.onSlow(e, board.now);
+            t.moves++;
             board.log("event=run_slow run=" + t.run() + " endpoint=" + e.entry.id() + " watched_ms=" + sinceMs
                     + " gained_percent=" + gained + " suspicion=" + e.suspicion);
             stop(t);
@@ -326,7 +330,9 @@
         switch (cause) {
             case DONE -> {
                 EndpointHealth.onDone(e);
-                durations.observe(t.job.spec, e, board.now - t.startedAtMs);
+                if (t.startedAtMs != OwnedTask.UNKNOWN) {
+                    durations.observe(t.job.spec, e, board.now - t.startedAtMs);
+                }
                 release(t, OwnedTask.State.DONE);
                 tellDone(t);
             }
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseController.java
@@ -434,7 +434,7 @@
         task.attempt = run.attempt();
         job.set(task, OwnedTask.State.RUNNING);
         job.everStarted = true;
-        task.startedAtMs = board.now;
+        task.startedAtMs = OwnedTask.UNKNOWN;
         task.confirmedAtMs = board.now;
         e.add(task);
         return true;
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnedTask.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnedTask.java
@@ -19,13 +19,20 @@
         DONE
     }
 
+    static final long UNKNOWN = -1;
+
     final OwnedJob job;
     final int index;
     State state = State.WAITING;
     int attempt;
     int failures;
     LeasedEndpoint endpoint;
+    /** When the start was sent, in milliseconds, or {@link #UNKNOWN} if an earlier owner sent it. */
     long startedAtMs;
+
+    /** How often a run was stopped because its endpoint was slow. */
+    int moves;
+
     long confirmedAtMs;
     boolean stopAccepted;
     long stopSentAtMs;
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnershipController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnershipController.java
@@ -1,7 +1,6 @@
 package org.gooseberrypier.internal.pool;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 
@@ -62,6 +61,15 @@
      */
     private static final long SHORT_TENURE_MS = 2_300;
 
+    /** A VM that starts, and one that is stopped and started in turn with others, is not steady yet, in milliseconds. */
+    static final long STEADY_MS = 4_000;
+
+    /** A change of the owner delays the jobs that wait; it pays only for a VM that is this much larger. */
+    private static final double MUCH_LARGER = 1.5;
+
+    /** A VM without any processor waits so much longer than the last owner's size before it claims, in milliseconds. */
+    private static final long SMALL_VM_MS = 400;
+
     private final PoolBoard board;
     private long namedAtMs = Long.MIN_VALUE / 2;
     private List<VmContact> peers = List.of();
@@ -69,9 +77,11 @@
     private long readAtMs = Long.MIN_VALUE / 2;
     private long lostAtMs;
     private boolean refused;
+    private long refusedAtMs;
     private boolean wasLinked;
     private long claimAtMs;
     private boolean claiming;
+    private long offerAtMs;
     private int candidate;
     private long candidateAtMs;
     private String followed = "";
@@ -184,7 +194,7 @@
         lostAtMs = board.now;
         wasLinked = false;
         // An earlier life of this VM can not answer.
-        refused = address.equals(board.self().address());
+        refuse(address.equals(board.self().address()));
         board.emit(new PoolEffect.LinkOwner(refused ? "" : address));
     }
 
@@ -216,7 +226,7 @@
                 return;
             }
         }
-        refused = event.refused();
+        refuse(event.refused());
     }
 
     void onFromOwner(PoolMessage.ToEntry message) {
@@ -266,6 +276,20 @@
         }
     }
 
+    /** Lets a much larger VM own the pool. Load pattern: VMs of unequal size, of which a small one claimed first. */
+    void offerTo(List<VmContact> steady) {
+        boolean larger = !steady.isEmpty()
+                && steady.get(0).milliCores() > MUCH_LARGER * board.self().milliCores();
+        boolean settled = board.role == OwnerRole.OWNER && board.now - board.ownerSinceMs >= STEADY_MS;
+        if (larger && settled && !claiming && !board.stopping && board.now >= offerAtMs && end >= 0) {
+            claiming = true;
+            offerAtMs = board.now + STEADY_MS;
+            board.log("event=offer_ownership to=" + steady.get(0).address() + " milli_cores="
+                    + steady.get(0).milliCores());
+            board.emit(new PoolEffect.Claim(end, steady.get(0)));
+        }
+    }
+
     /** Names the first successor, so that it can go on at once. */
     void handOver(List<VmContact> successors) {
         board.stopping = true;
@@ -293,12 +317,28 @@
         }
     }
 
+    /** Takes note of whether the owner's VM refuses links; the successors take their turns from then on. */
+    private void refuse(boolean now) {
+        if (now && !refused) {
+            refusedAtMs = board.now;
+        }
+        refused = now;
+    }
+
     private long patienceMs() {
         if (board.newest.isEmpty()) {
             return (Math.floorMod(board.self().incarnation(), MAX_STEPS)) * SUCCESSION_STEP_MS;
         }
         long base = wasLinked ? RECONNECT_MS : UNREACHABLE_MS;
-        return (refused ? 0 : base) + rank() * SUCCESSION_STEP_MS;
+        long sinceLost = refused ? Math.min(base, refusedAtMs - lostAtMs) : base;
+        return sinceLost + rank() * SUCCESSION_STEP_MS + (peers.isEmpty() ? smallVmMs() : 0);
+    }
+
+    /** Returns how much longer a VM waits that knows no other yet and is smaller than the last owner. */
+    private long smallVmMs() {
+        double share =
+                (double) board.self().milliCores() / board.newest.get().owner().milliCores();
+        return share >= 1 ? 0 : (long) (SMALL_VM_MS * (1 - share));
     }
 
     private int rank() {
@@ -377,7 +417,7 @@
             }
         }
         zone.add(board.self());
-        zone.sort(Comparator.comparing(VmContact::address));
+        zone.sort(VmContact.SUCCESSION);
         return zone;
     }
 
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
@@ -1,10 +1,9 @@
 package org.gooseberrypier.internal.pool;
 
 import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.LinkedHashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
 import java.util.function.Consumer;
 
 import org.gooseberrypier.pool.PoolEffect;
@@ -18,15 +17,21 @@
     /** Distance of the owner's heartbeats, in milliseconds. */
     private static final long HEARTBEAT_MS = 100;
 
+    /** A VM that has just opened its link misses a list that comes before it knows so; it is sent again, in milliseconds. */
+    private static final long PEERS_MS = 1_000;
+
     private final PoolBoard board;
     private final OwnershipController ownership;
     private final EntryController entry;
     private final JobController jobs;
-    private final Set<VmContact> attached = new LinkedHashSet<>();
+    /** The VMs that have a link to this one, and since when, in milliseconds. */
+    private final Map<VmContact, Long> attached = new LinkedHashMap<>();
+
     private boolean wasOwner;
     private long servedToken;
     private String servedOwner = "";
     private boolean peersChanged = true;
+    private long peersDueMs;
 
     /**
      * Creates the engine of one VM.
@@ -77,7 +82,7 @@
             fromOwner(e);
         } else if (event instanceof PoolEvent.Woke) {
             ownership.onWoke();
-            attached.forEach(jobs::onDetached);
+            attached.keySet().forEach(jobs::onDetached);
         } else if (event instanceof PoolEvent.StopAsked) {
             ownership.handOver(successors());
         } else {
@@ -87,7 +92,7 @@
 
     private void dispatchToOwner(PoolEvent event) {
         if (event instanceof PoolEvent.EntryAttached e) {
-            attached.add(e.vm());
+            attached.put(e.vm(), board.now);
             peersChanged = true;
         } else if (event instanceof PoolEvent.EntryConfirmed e) {
             jobs.onConfirmed(e.vm());
@@ -134,6 +139,7 @@
             jobs.leases().onTick();
             jobs.onTick();
             heartbeat();
+            ownership.offerTo(steadySuccessors());
         }
     }
 
@@ -141,18 +147,26 @@
         if (!ownership.takeHeartbeat(HEARTBEAT_MS)) {
             return;
         }
-        List<VmContact> peers = peersChanged ? successors() : List.of();
+        List<VmContact> peers = peersChanged || board.now >= peersDueMs ? successors() : List.of();
+        peersDueMs = peers.isEmpty() ? peersDueMs : board.now + PEERS_MS;
         peersChanged = false;
         var beat = new PoolMessage.Heartbeat(board.token, peers, jobs.waitingByQueue());
-        for (VmContact vm : attached) {
+        for (VmContact vm : attached.keySet()) {
             board.sendEntry(vm, beat);
         }
         entry.onMessage(beat);
     }
 
+    /** Returns the VMs whose links have lasted for a while. */
+    private List<VmContact> steadySuccessors() {
+        List<VmContact> steady = successors();
+        steady.removeIf(vm -> board.now - attached.get(vm) < OwnershipController.STEADY_MS);
+        return steady;
+    }
+
     private List<VmContact> successors() {
-        List<VmContact> peers = new ArrayList<>(attached);
-        peers.sort(Comparator.comparing(VmContact::address));
+        List<VmContact> peers = new ArrayList<>(attached.keySet());
+        peers.sort(VmContact.SUCCESSION);
         return peers;
     }
 
@@ -186,7 +200,7 @@
             jobs.leases().begin();
         } else if (!board.isOwner() && wasOwner) {
             wasOwner = false;
-            for (VmContact vm : attached) {
+            for (VmContact vm : attached.keySet()) {
                 board.sendEntry(vm, new PoolMessage.NotOwner(board.token));
             }
             jobs.leases().end();
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/internal/pool/LeaseControllerTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/internal/pool/LeaseControllerTest.java
@@ -29,7 +29,7 @@
     @BeforeMethod
     public void begin() {
         effects.clear();
-        board = new PoolBoard(new VmContact("10.0.0.2:1", "z", 1), effects::add);
+        board = new PoolBoard(new VmContact("10.0.0.2:1", "z", 1, 1_000), effects::add);
         board.now = 1_000;
         board.ownerSinceMs = 1_000;
         board.role = OwnerRole.OWNER;
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolCoreTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolCoreTest.java
@@ -124,6 +124,34 @@
         assertEquals(starts(s), 0);
     }
 
+    @Test
+    public void theLargestVmOwnsThePoolOnceItIsSteady() {
+        PoolSimulation s = new PoolSimulation(1, 5, 4);
+        s.vms.forEach(v -> v.milliCores = 270);
+        s.vms.get(3).milliCores = 1_500;
+        s.vms.stream().filter(v -> v.index != 3).forEach(s::start);
+        s.runUntil(2_000);
+        s.start(s.vms.get(3));
+        s.runUntil(4_000);
+        assertFalse(s.vms.get(3).isOwner(), "it may go again soon");
+        s.runUntil(10_000);
+        assertTrue(s.vms.get(3).isOwner());
+        assertEquals(s.vms.stream().filter(SimulatedVm::isOwner).count(), 1);
+    }
+
+    @Test
+    public void theLargestOfTheOthersFollowsAnOwnerThatIsLost() {
+        PoolSimulation s = new PoolSimulation(1, 5, 4);
+        s.vms.get(3).milliCores = 1_000;
+        s.vms.get(4).milliCores = 2_000;
+        s.startAll();
+        s.runUntil(10_000);
+        assertTrue(s.vms.get(4).isOwner());
+        s.kill(s.vms.get(4));
+        s.runUntil(s.nowMs() + 300);
+        assertTrue(s.vms.get(3).isOwner());
+    }
+
     @Test
     public void aCallerIsToldToComeBackWithinSecondsWhileMoreComesThanCanBeDone() {
         PoolSimulation s = opened(2);
@@ -153,6 +181,15 @@
         assertCompleted(caller);
     }
 
+    @Test
+    public void aRunThatTakesLongerThanItsJobSaysEndsAllTheSame() {
+        PoolSimulation s = opened(3);
+        s.endpoints.forEach(e -> e.slowness = 20);
+        PoolSimulation.Caller caller = s.submit(PoolJobs.patientJob("job-1", 1, 100));
+        s.runUntil(s.nowMs() + 5_000);
+        assertCompleted(caller);
+    }
+
     @Test
     public void theSameJobAtTwoVmsIsOneJob() {
         PoolSimulation s = opened(9);
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolRandomTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolRandomTest.java
@@ -90,6 +90,9 @@
     private static PoolSimulation run(int seed, Setup setup) {
         PoolSimulation s = new PoolSimulation(seed, 7, 9);
         s.endpoints.forEach(setup::apply);
+        if (seed % 2 == 0) {
+            s.vms.forEach(v -> v.milliCores = 270 + 410 * (v.index % 3));
+        }
         s.startAll();
         s.runUntil(WARM_UP_MS);
         submitAll(s);
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedVm.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedVm.java
@@ -17,6 +17,7 @@
     String linkTarget = "";
     boolean linked;
     private final PoolSimulation world;
+    int milliCores = 750;
     private final Deque<PoolEvent> delayed = new ArrayDeque<>();
     private PoolCore core;
     private long clockLagMs;
@@ -35,7 +36,7 @@
         linked = false;
         linkTarget = "";
         delayed.clear();
-        contact = new VmContact("vm-" + index, "zone-" + index % 3, incarnation);
+        contact = new VmContact("vm-" + index, "zone-" + index % 3, incarnation, milliCores);
         core = new PoolCore(contact, 3, clockMs(), e -> world.perform(this, e));
         tick(life);
         world.follow(this, life);
