--- /dev/null
+++ b/org.gooseberrypier.load/src/main/java/org/gooseberrypier/load/pool/PoolQueueModel.java
@@ -0,0 +1,26 @@
+package org.gooseberrypier.load.pool;
+
+import java.util.List;
+
+/**
+ * What the jobs of one queue are like.
+ *
+ * @param name the queue
+ * @param perSecond how many jobs arrive in a second at the usual load
+ * @param tasks the mean of their tasks
+ * @param workMs the mean of a task's work, in milliseconds on an endpoint of speed 1
+ * @param worth the payoff of a job of mean work that is answered within its objective
+ */
+public record PoolQueueModel(String name, double perSecond, int tasks, long workMs, double worth) {
+
+    /** The three queues of the users' sheets at Tartu: short and wide, long, and many small ones. */
+    public static final List<PoolQueueModel> USERS = List.of(
+            new PoolQueueModel("cite-check", 24.1, 8, 60, 0.0291),
+            new PoolQueueModel("evidence-bundle", 4.37, 4, 900, 0.16),
+            new PoolQueueModel("embargo-check", 70, 2, 200, 0.01));
+
+    /** Returns the mean work of a job, in milliseconds of a task. */
+    double meanWork() {
+        return (double) tasks * workMs;
+    }
+}
--- a/org.gooseberrypier.pgm/src/main/java/org/gooseberrypier/pgm/CommandRegistry.java
+++ b/org.gooseberrypier.pgm/src/main/java/org/gooseberrypier/pgm/CommandRegistry.java
@@ -29,6 +29,7 @@
         registry.register("job cancel", JobCancelCommand::new);
         registry.register("demo", DemoCommand::new);
         registry.register("bench", BenchCommand::new);
+        registry.register("experiment", ExperimentCommand::new);
         registry.register("standin platform", StandinPlatformCommand::new);
         registry.register("standin endpoint", StandinEndpointCommand::new);
         registry.register("ticket publish", TicketPublishCommand::new);
--- /dev/null
+++ b/org.gooseberrypier.pgm/src/main/java/org/gooseberrypier/pgm/ExperimentCommand.java
@@ -0,0 +1,140 @@
+package org.gooseberrypier.pgm;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.converters.PathConverter;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.gooseberrypier.load.pool.ExperimentReport;
+import org.gooseberrypier.load.pool.ExperimentResult;
+import org.gooseberrypier.load.pool.PoolExperiment;
+import org.gooseberrypier.load.pool.PoolLoad;
+import org.gooseberrypier.pool.PoolRules;
+
+/** Compares rules of waiting and refusal under emulated load, in virtual time. */
+@Parameters(commandDescription = "Compare rules of the pool under load, against what perfect knowledge would earn")
+final class ExperimentCommand implements Command {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    @Parameter(names = "--load", description = "the loads, with commas between them; all plays every one")
+    private List<String> loads = List.of("all");
+
+    @Parameter(
+            names = "--order",
+            description = "the orders of waiting jobs, with commas between them; all plays every one")
+    private List<String> orders = List.of("least-demanding-queue");
+
+    @Parameter(names = "--keep-late", description = "also play without dropping late jobs under too much load")
+    private boolean keepLate;
+
+    @Parameter(names = "--wait", description = "also play without refusing at once")
+    private boolean waits;
+
+    @Parameter(names = "--endpoints", description = "how many endpoints, two thirds of them fast")
+    private int endpoints = 33;
+
+    @Parameter(names = "--seconds", description = "how long jobs arrive, in virtual time")
+    private double seconds = 30;
+
+    @Parameter(names = "--seed", description = "the seed of the arrivals")
+    private long seed = 1;
+
+    @Parameter(names = "--json", description = "print one JSON object instead of the table")
+    private boolean json;
+
+    @Parameter(names = "--plot", converter = PathConverter.class, description = "draw the shares into this PNG file")
+    private Path plot;
+
+    @Override
+    public int call() {
+        List<PoolLoad> chosen = chosenLoads();
+        Map<String, PoolRules> rules = chosenRules();
+        if (endpoints < 1 || !(seconds > 0)) {
+            throw new ParameterException(
+                    "--endpoints: " + endpoints + " and --seconds: " + seconds + " must be above 0");
+        }
+        try {
+            run(chosen, rules);
+            return ExitCode.OK;
+        } catch (IOException e) {
+            System.err.println("experiment: " + e.getMessage());
+            return ExitCode.FAILED;
+        }
+    }
+
+    private void run(List<PoolLoad> chosen, Map<String, PoolRules> rules) throws IOException {
+        Map<String, Map<String, ExperimentResult>> all = new LinkedHashMap<>();
+        if (!json) {
+            ExperimentReport.printHead(System.out);
+        }
+        for (PoolLoad l : chosen) {
+            Map<String, ExperimentResult> results = new LinkedHashMap<>();
+            rules.forEach((name, r) -> results.put(name, play(l, r)));
+            all.put(l.name(), results);
+            if (!json) {
+                ExperimentReport.print(l, results, System.out);
+            }
+        }
+        if (json) {
+            System.out.println(MAPPER.writerWithDefaultPrettyPrinter().writeValueAsString(all));
+        }
+        if (plot != null) {
+            ExperimentReport.plot(all, plot);
+        }
+    }
+
+    private ExperimentResult play(PoolLoad load, PoolRules rules) {
+        return PoolExperiment.builder()
+                .load(load)
+                .rules(rules)
+                .endpoints(endpoints)
+                .seconds(seconds)
+                .seed(seed)
+                .call();
+    }
+
+    private List<PoolLoad> chosenLoads() {
+        if (loads.equals(List.of("all"))) {
+            return PoolLoad.ALL;
+        }
+        List<PoolLoad> list = new ArrayList<>();
+        for (String name : loads) {
+            list.add(PoolLoad.ALL.stream()
+                    .filter(l -> l.name().equals(name))
+                    .findFirst()
+                    .orElseThrow(() -> new ParameterException("--load: " + name + " is not one of "
+                            + PoolLoad.ALL.stream().map(PoolLoad::name).toList())));
+        }
+        return list;
+    }
+
+    private Map<String, PoolRules> chosenRules() {
+        Map<String, PoolRules> rules = new LinkedHashMap<>();
+        for (PoolRules.Order o : PoolRules.Order.values()) {
+            String name = o.name().toLowerCase(Locale.ROOT).replace('_', '-');
+            if (!orders.contains(name) && !orders.equals(List.of("all"))) {
+                continue;
+            }
+            rules.put(name, new PoolRules(o, true, true));
+            if (keepLate) {
+                rules.put(name + "+late", new PoolRules(o, true, false));
+            }
+            if (waits) {
+                rules.put(name + "+wait", new PoolRules(o, false, false));
+            }
+        }
+        if (rules.isEmpty()) {
+            throw new ParameterException("--order: " + orders + " names none of " + List.of(PoolRules.Order.values()));
+        }
+        return rules;
+    }
+}
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/DurationEstimator.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/DurationEstimator.java
@@ -35,11 +35,15 @@
         }
     }
 
+    /** Returns how many times as long as declared a task takes on an endpoint. */
+    double factor(LeasedEndpoint endpoint) {
+        Mean mean = byKind.get(endpoint.entry.kind());
+        return mean == null ? 1 : mean.value();
+    }
+
     /** Returns the expected duration of a task on an endpoint, in milliseconds. */
     double expectMs(PoolJob job, LeasedEndpoint endpoint) {
-        Mean mean = byKind.get(endpoint.entry.kind());
-        double factor = mean == null ? 1 : mean.value();
-        return job.estimateMs() * factor * rackFactor(job, endpoint);
+        return job.estimateMs() * factor(endpoint) * rackFactor(job, endpoint);
     }
 
     /** Returns the expected duration on the fastest kind, in milliseconds. */
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
@@ -10,6 +10,7 @@
 import org.gooseberrypier.pool.PoolEvent;
 import org.gooseberrypier.pool.PoolJob;
 import org.gooseberrypier.pool.PoolMessage;
+import org.gooseberrypier.pool.PoolRules;
 import org.gooseberrypier.pool.RunEnd;
 import org.gooseberrypier.pool.RunId;
 import org.gooseberrypier.pool.StartResult;
@@ -58,13 +59,16 @@
     private final LeaseController leases;
     private final OwnershipController ownership;
     private final DurationEstimator durations = new DurationEstimator();
-    private final PlacementPlanner planner = new PlacementPlanner(durations, JobOrder.LEAST_DEMANDING_QUEUE);
+    private final PlacementPlanner planner;
+    private final boolean refusesAtOnce;
     private final KeptOutcomes kept = new KeptOutcomes();
 
-    JobController(PoolBoard board, OwnershipController ownership, double remotePenalty) {
+    JobController(PoolBoard board, OwnershipController ownership, PoolRules rules, double remotePenalty) {
         this.board = board;
         this.ownership = ownership;
         this.leases = new LeaseController(board, this);
+        this.planner = new PlacementPlanner(durations, JobOrder.of(rules.order()), rules.dropsLate());
+        this.refusesAtOnce = rules.refusesAtOnce();
         durations.setRemotePenalty(remotePenalty);
     }
 
@@ -131,7 +135,7 @@
         }
         planner.observe(job, board.now);
         double waitMs = planner.expectedWaitMs(job, board.jobs.values(), board.endpoints.values(), board.now);
-        if (!p.isResumed() && waitMs > planner.patienceMs(job, board.now)) {
+        if (refusesAtOnce && !p.isResumed() && waitMs > planner.patienceMs(job, board.now)) {
             refuse(from, spec, "too much work waits", (long) Math.min(waitMs, MAX_RETRY_AFTER_MS));
             return;
         }
@@ -480,6 +484,7 @@
                 check(t);
             }
         }
+        planner.observe(board.endpoints.values());
         refuseHopeless();
         board.placementDue = true;
     }
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobOrder.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobOrder.java
@@ -2,6 +2,8 @@
 
 import java.util.Comparator;
 
+import org.gooseberrypier.pool.PoolRules;
+
 /** The order in which waiting jobs get room. */
 interface JobOrder extends Comparator<JobOrder.Candidate> {
 
@@ -37,6 +39,15 @@
             .thenComparingDouble(Candidate::queueRate)
             .thenComparingDouble(Candidate::work));
 
+    /** Returns the order that a rule names. */
+    static JobOrder of(PoolRules.Order order) {
+        return switch (order) {
+            case FIRST_COME -> FIRST_COME;
+            case LEAST_WORK -> LEAST_WORK;
+            case LEAST_DEMANDING_QUEUE -> LEAST_DEMANDING_QUEUE;
+        };
+    }
+
     private static JobOrder of(Comparator<Candidate> comparator) {
         return comparator::compare;
     }
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OfferedWork.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OfferedWork.java
@@ -27,6 +27,15 @@
         return q == null ? 0 : q.all.value(now);
     }
 
+    /** Returns how much of all queues arrives, in thousandths of a core. */
+    double rate(long now) {
+        double sum = 0;
+        for (Queue q : queues.values()) {
+            sum += q.all.value(now);
+        }
+        return sum;
+    }
+
     /** Returns how much arrives that goes before a job: less demanding queues, and smaller jobs of its own queue. */
     double rateAhead(String queue, double work, long now) {
         Queue own = queues.get(queue);
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PlacementPlanner.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PlacementPlanner.java
@@ -25,7 +25,9 @@
 
     private final DurationEstimator durations;
     private final JobOrder order;
+    private final boolean dropsLate;
     private final OfferedWork offered = new OfferedWork();
+    private double capacity = Double.MAX_VALUE;
 
     /** One task and the endpoint that it gets. */
     record Place(OwnedTask task, LeasedEndpoint endpoint) {}
@@ -37,7 +39,8 @@
         void place(Place place);
     }
 
-    PlacementPlanner(DurationEstimator durations, JobOrder order) {
+    PlacementPlanner(DurationEstimator durations, JobOrder order, boolean dropsLate) {
+        this.dropsLate = dropsLate;
         this.durations = durations;
         this.order = order;
     }
@@ -60,6 +63,23 @@
         return patienceMs(job, now) < 0;
     }
 
+    /**
+     * Returns whether more work arrives than can be done: then a job that is answered late takes the room of one that could
+     * be answered in time. Load pattern: more work than room for seconds.
+     */
+    private boolean isOverloaded(long now) {
+        return offered.rate(now) > USABLE_SHARE * capacity;
+    }
+
+    /** Takes note of the endpoints, of which each holds the more work the faster it is. */
+    void observe(Collection<LeasedEndpoint> endpoints) {
+        double sum = 0;
+        for (LeasedEndpoint e : endpoints) {
+            sum += e.registered && !e.entry.draining() ? e.entry.milliCores() / durations.factor(e) : 0;
+        }
+        capacity = sum;
+    }
+
     /** Takes note of a job that arrived. */
     void observe(OwnedJob job, long now) {
         offered.observe(job.spec.queue(), work(job), now);
@@ -67,7 +87,8 @@
 
     /** Returns how long a job may wait for its start and still be of some use, in milliseconds from now. */
     double patienceMs(OwnedJob job, long now) {
-        double left = job.arrivedAtMs + LATE_OBJECTIVES * objectiveMs(job.spec) - ANSWER_MS - now;
+        double objectives = dropsLate && isOverloaded(now) ? 1 : LATE_OBJECTIVES;
+        double left = job.arrivedAtMs + objectives * objectiveMs(job.spec) - ANSWER_MS - now;
         return left - durations.bestMs(job.spec);
     }
 
@@ -76,16 +97,16 @@
      * waits. Load pattern: a burst that is larger than what can be done before its jobs are of no use.
      */
     double expectedWaitMs(OwnedJob job, Collection<OwnedJob> waiting, Collection<LeasedEndpoint> endpoints, long now) {
-        double capacity = 0;
+        double allowed = 0;
         double free = 0;
         for (LeasedEndpoint e : endpoints) {
             // One that did not answer yet counts too: the estimate must not be too high, as a refusal is final.
             if (e.registered && !e.entry.draining() && isAllowed(job.spec, e)) {
-                capacity += e.entry.milliCores();
+                allowed += e.entry.milliCores() / durations.factor(e);
                 free += e.isUsable(now) && e.hasRoom(job) ? e.freeMilliCores() : 0;
             }
         }
-        if (capacity == 0 || free >= job.spec.milliCores()) {
+        if (allowed == 0 || free >= job.spec.milliCores()) {
             return 0;
         }
         String queue = job.spec.queue();
@@ -99,7 +120,7 @@
                 ahead += work(j) * j.waiting / j.spec.tasks();
             }
         }
-        double left = USABLE_SHARE * capacity - offered.rateAhead(queue, own, now);
+        double left = USABLE_SHARE * allowed - offered.rateAhead(queue, own, now);
         return ahead / Math.max(1, left);
     }
 
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
@@ -9,6 +9,7 @@
 import org.gooseberrypier.pool.PoolEffect;
 import org.gooseberrypier.pool.PoolEvent;
 import org.gooseberrypier.pool.PoolMessage;
+import org.gooseberrypier.pool.PoolRules;
 import org.gooseberrypier.pool.VmContact;
 
 /** Gives each event to the controllers that it concerns, in a fixed order. */
@@ -37,16 +38,17 @@
      * Creates the engine of one VM.
      *
      * @param self the VM
+     * @param rules how work waits and is refused
      * @param remotePenalty how many times as long a task takes away from its data, at least 1
      * @param startMs the steady clock now, in milliseconds
      * @param sink where effects go
      */
-    public PoolEngine(VmContact self, double remotePenalty, long startMs, Consumer<PoolEffect> sink) {
+    public PoolEngine(VmContact self, PoolRules rules, double remotePenalty, long startMs, Consumer<PoolEffect> sink) {
         board = new PoolBoard(self, sink);
         board.now = startMs;
         ownership = new OwnershipController(board);
         entry = new EntryController(board);
-        jobs = new JobController(board, ownership, remotePenalty);
+        jobs = new JobController(board, ownership, rules, remotePenalty);
     }
 
     /**
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/PoolCore.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/PoolCore.java
@@ -22,7 +22,20 @@
      * @param sink where effects go, called while an event is handled
      */
     public PoolCore(VmContact self, double remotePenalty, long startMs, Consumer<PoolEffect> sink) {
-        engine = new PoolEngine(self, remotePenalty, startMs, sink);
+        this(self, PoolRules.DEFAULT, remotePenalty, startMs, sink);
+    }
+
+    /**
+     * Creates the rules of one VM, to compare rules with each other.
+     *
+     * @param self the VM
+     * @param rules how work waits and is refused
+     * @param remotePenalty how many times as long a task takes away from its data, at least 1
+     * @param startMs the steady clock now, in milliseconds
+     * @param sink where effects go, called while an event is handled
+     */
+    public PoolCore(VmContact self, PoolRules rules, double remotePenalty, long startMs, Consumer<PoolEffect> sink) {
+        engine = new PoolEngine(self, rules, remotePenalty, startMs, sink);
     }
 
     /**
