--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
@@ -27,26 +27,11 @@
     /** A VM whose link was lost has this long to come back before its jobs are stopped, in milliseconds. */
     private static final long DETACHED_MS = 400;
 
-    /** By then a run of an earlier owner that can not be heard has lapsed or was stopped, in milliseconds. */
-    private static final long EARLIER_RUNS_MS = 1_600;
-
     private static final int MAX_JOBS = 20_000;
 
     /** A stop without an answer is sent again after this time, in milliseconds. */
     private static final long STOP_RETRY_MS = 250;
 
-    /** A run's progress is judged over at least this time on the endpoint's clock, in milliseconds. */
-    private static final long MIN_WATCH_MS = 150;
-
-    /** What stopping a run and starting another takes, in milliseconds. */
-    private static final double RESTART_MS = 70;
-
-    /** A run is moved only if that is this many times as fast: declared durations are off by 1.7 times, speeds by 1.7. */
-    private static final double SLOW_FACTOR = 3;
-
-    /** A run that is slow wherever it was moved to is not slow but longer than its job says. */
-    private static final int MAX_MOVES = 2;
-
     private static final long MIN_RETRY_AFTER_MS = 500;
 
     /** The load of so much later can not be told from that of the last two seconds, in milliseconds. */
@@ -59,6 +44,8 @@
     private final LeaseController leases;
     private final OwnershipController ownership;
     private final DurationEstimator durations = new DurationEstimator();
+    private final RestartGuard guard;
+    private final SlowRuns slowRuns;
     private final PlacementPlanner planner;
     private final boolean refusesAtOnce;
     private final KeptOutcomes kept = new KeptOutcomes();
@@ -67,6 +54,8 @@
         this.board = board;
         this.ownership = ownership;
         this.leases = new LeaseController(board, this);
+        this.guard = new RestartGuard(board, leases);
+        this.slowRuns = new SlowRuns(board, durations);
         this.planner = new PlacementPlanner(durations, JobOrder.of(rules.order()), rules.dropsLate());
         this.refusesAtOnce = rules.refusesAtOnce();
         durations.setRemotePenalty(remotePenalty);
@@ -290,13 +279,8 @@
     @Override
     public void onRunning(OwnedTask t, int percent, long clockMs) {
         confirm(t);
-        if (t.listedClockMs == 0) {
-            t.listedClockMs = clockMs;
-        } else if (t.state == OwnedTask.State.RUNNING && !t.job.ending && t.percentAtListing >= 0) {
-            moveIfSlow(t, percent, clockMs);
-        }
-        if (t.percentAtListing < 0) {
-            t.percentAtListing = percent;
+        if (slowRuns.observe(t, percent, clockMs)) {
+            stop(t);
         }
     }
 
@@ -308,25 +292,6 @@
         }
     }
 
-    /** Stops a run that would end later here than if it began anew elsewhere. Load pattern: slow and hanging endpoints. */
-    private void moveIfSlow(OwnedTask t, int percent, long clockMs) {
-        long sinceMs = clockMs - t.listedClockMs;
-        if (sinceMs < MIN_WATCH_MS || t.moves >= MAX_MOVES) {
-            return;
-        }
-        int gained = Math.max(0, percent - t.percentAtListing);
-        double leftMs = gained == 0 ? Double.MAX_VALUE : sinceMs * (100.0 - percent) / gained;
-        double anewMs = durations.bestMs(t.job.spec) + RESTART_MS;
-        if (leftMs > SLOW_FACTOR * anewMs) {
-            LeasedEndpoint e = t.endpoint;
-            EndpointHealth.onSlow(e, board.now);
-            t.moves++;
-            board.log("event=run_slow run=" + t.run() + " endpoint=" + e.entry.id() + " watched_ms=" + sinceMs
-                    + " gained_percent=" + gained + " suspicion=" + e.suspicion);
-            stop(t);
-        }
-    }
-
     @Override
     public void onEnd(OwnedTask t, RunEnd.Cause cause) {
         t.job.everStarted = true;
@@ -512,24 +477,15 @@
     /** Starts what can be started now. */
     void place() {
         board.placementDue = false;
-        long allHeardSinceMs = leases.allHeardSinceMs();
-        boolean freshMayRun = !board.followsShortOwner || leases.knownHeardSinceMs() >= board.ownerSinceMs;
-        long latestHandoverMs = Long.MIN_VALUE;
+        guard.begin();
         List<OwnedJob> waiting = new ArrayList<>();
         for (OwnedJob j : board.jobs.values()) {
             boolean attached = j.subscribers.containsValue(0L);
-            if (j.waiting == 0 || j.ending || !attached) {
-                continue;
-            }
-            long sinceMs = j.resumed ? j.handedOverAtMs : board.ownerSinceMs;
-            boolean mayRun = j.resumed ? allHeardSinceMs >= sinceMs : freshMayRun;
-            if (mayRun || board.now - sinceMs >= EARLIER_RUNS_MS) {
+            if (j.waiting > 0 && !j.ending && attached && guard.mayStart(j)) {
                 waiting.add(j);
-            } else {
-                latestHandoverMs = Math.max(latestHandoverMs, sinceMs);
             }
         }
-        leases.probe(latestHandoverMs);
+        guard.end();
         if (!waiting.isEmpty()) {
             planner.plan(waiting, board.endpoints.values(), board.now, this::start);
         }
