--- a/org.gooseberrypier.pgm/src/main/java/org/gooseberrypier/pgm/ExperimentCommand.java
+++ b/org.gooseberrypier.pgm/src/main/java/org/gooseberrypier/pgm/ExperimentCommand.java
@@ -33,8 +33,8 @@
             description = "the orders of waiting jobs, with commas between them; all plays every one")
     private List<String> orders = List.of("least-demanding-queue");
 
-    @Parameter(names = "--keep-late", description = "also play without dropping late jobs under too much load")
-    private boolean keepLate;
+    @Parameter(names = "--drop-late", description = "also play with dropping late jobs under too much load")
+    private boolean dropLate;
 
     @Parameter(names = "--wait", description = "also play without refusing at once")
     private boolean waits;
@@ -124,9 +124,9 @@
             if (!orders.contains(name) && !orders.equals(List.of("all"))) {
                 continue;
             }
-            rules.put(name, new PoolRules(o, true, true));
-            if (keepLate) {
-                rules.put(name + "+late", new PoolRules(o, true, false));
+            rules.put(name, new PoolRules(o, true, false));
+            if (dropLate) {
+                rules.put(name + "+drop", new PoolRules(o, true, true));
             }
             if (waits) {
                 rules.put(name + "+wait", new PoolRules(o, false, false));
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
@@ -122,7 +122,10 @@
             refuse(from, spec, "no endpoint is large enough", NEVER_RETRY_AFTER_MS);
             return;
         }
-        planner.observe(job, board.now);
+        if (!p.isResumed()) {
+            // One that is handed over again is no new work.
+            planner.observe(job, board.now);
+        }
         double waitMs = planner.expectedWaitMs(job, board.jobs.values(), board.endpoints.values(), board.now);
         if (refusesAtOnce && !p.isResumed() && waitMs > planner.patienceMs(job, board.now)) {
             refuse(from, spec, "too much work waits", (long) Math.min(waitMs, MAX_RETRY_AFTER_MS));
