Join jobs whose runs are known instead of refusing them as not run; report failed orders

- A job sent again after its VM died could be refused at once as not run while runs of its first attempt stood at an endpoint as strays.
It is taken like one that is handed over: its runs and ends count, it is never refused, only unknown.
PoolCoreTest.aJobWhoseRunsAreStillThereIsJoinedAndNotRefusedAsNotRun failed before (Refused, "too much work waits").

--- a/org.gooseberrypier.load/src/main/java/org/gooseberrypier/load/pool/PoolExperiment.java
+++ b/org.gooseberrypier.load/src/main/java/org/gooseberrypier/load/pool/PoolExperiment.java
@@ -180,7 +180,7 @@
             if (e.answers()) {
                 e.hold(h, r -> later(WAY_MS, new PoolEvent.HoldEnded(h, r)));
             } else {
-                later(CALL_TIMEOUT_MS, new PoolEvent.HoldEnded(h, new HoldResult.Unanswered()));
+                later(CALL_TIMEOUT_MS, new PoolEvent.HoldEnded(h, new HoldResult.Unanswered("the endpoint is gone")));
             }
         });
     }
--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolVm.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolVm.java
@@ -68,7 +68,9 @@
     private volatile boolean owner;
     private volatile boolean closed;
     private OwnerLink link;
-    private boolean listing;
+    /** Cleared on an event loop. */
+    private volatile boolean listing;
+
     private long listAtMs;
     private long tickAtMs;
     private long clockOffsetMs = System.currentTimeMillis() - nowMs();
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
@@ -113,12 +113,14 @@
 
     private void admit(VmContact from, PoolMessage.Present p) {
         PoolJob spec = p.job();
-        OwnedJob job = new OwnedJob(spec, board.now - p.ageMs(), p.isResumed(), board.now);
-        if (!p.isResumed() && board.jobs.size() >= MAX_JOBS) {
+        // Its caller may have sent it before, to a VM that is gone: what ran must not be called not run.
+        boolean mayHaveRun = p.isResumed() || leases.knowsRunsOf(spec.id());
+        OwnedJob job = new OwnedJob(spec, board.now - p.ageMs(), mayHaveRun, board.now);
+        if (!mayHaveRun && board.jobs.size() >= MAX_JOBS) {
             refuse(from, spec, "queue full", MIN_RETRY_AFTER_MS);
             return;
         }
-        if (!p.isResumed() && !canEverRun(spec)) {
+        if (!mayHaveRun && !canEverRun(spec)) {
             refuse(from, spec, "no endpoint is large enough", NEVER_RETRY_AFTER_MS);
             return;
         }
@@ -127,17 +129,14 @@
             planner.observe(job, board.now);
         }
         double waitMs = planner.expectedWaitMs(job, board.jobs.values(), board.endpoints.values(), board.now);
-        if (refusesAtOnce && !p.isResumed() && waitMs > planner.patienceMs(job, board.now)) {
+        if (refusesAtOnce && !mayHaveRun && waitMs > planner.patienceMs(job, board.now)) {
             refuse(from, spec, "too much work waits", (long) Math.min(waitMs, MAX_RETRY_AFTER_MS));
             return;
         }
         job.subscribers.put(from, 0L);
         board.jobs.put(spec.id(), job);
-        if (p.isResumed()) {
+        if (mayHaveRun) {
             resume(job, p);
-        } else {
-            // Its caller may have sent it before to a VM that is gone, and so may be the owner of that time.
-            leases.adopt(job);
         }
         board.placementDue = true;
     }
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseController.java
@@ -43,14 +43,14 @@
     /** The same within a zone that goes on alone, whose few VMs are near; jobs of VMs elsewhere wait for it to pass. */
     private static final long ZONE_STRAY_MS = 200;
 
-    private final PoolBoard board;
-    private final RunListener listener;
     /**
      * An endpoint that left the list without draining counts as possibly alive for this long, in milliseconds: its entry
      * also lapses while its zone is cut off, where the zone's owner goes on using it, and comes back seconds later.
      */
     private static final long DEPARTED_MS = 15_000;
 
+    private final PoolBoard board;
+    private final RunListener listener;
     private final Map<String, Departed> departed = new HashMap<>();
     private long listAskedAtMs = Long.MIN_VALUE;
     /** When the list was read first, in milliseconds; endpoints that had left it before are not known. */
@@ -249,12 +249,12 @@
             held(e, hold, h);
         } else if (event.result() instanceof HoldResult.Rejected r) {
             rejected(e, r.cause());
-        } else {
+        } else if (event.result() instanceof HoldResult.Unanswered u) {
             e.unanswered++;
             e.nextHoldAtMs = board.now + HOLD_RETRY_MS;
             if (e.unanswered == 1) {
                 board.log("event=endpoint_silent endpoint=" + e.entry.id() + " heard_ms_ago="
-                        + (board.now - e.heardAtMs));
+                        + (board.now - e.heardAtMs) + " reason=\"" + u.reason().replace('"', '\'') + "\"");
             }
         }
         if (!e.holding && board.now >= e.nextHoldAtMs) {
@@ -407,6 +407,13 @@
         return done == null ? Set.of() : done;
     }
 
+    /** Returns whether runs of a job that is not here are known, there still or ended. */
+    boolean knowsRunsOf(String job) {
+        return strayDone.containsKey(job)
+                || board.endpoints.values().stream().anyMatch(e -> e.strays.keySet().stream()
+                        .anyMatch(r -> r.job().equals(job)));
+    }
+
     /** Gives the runs of a job that an earlier owner started to the job. */
     void adopt(OwnedJob job) {
         for (LeasedEndpoint e : board.endpoints.values()) {
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OfferedWork.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OfferedWork.java
@@ -9,6 +9,12 @@
     /** Time constant of the rates, in milliseconds: longer than jobs last and shorter than bursts. */
     private static final double DECAY_MS = 2_000;
 
+    /** So many queues are kept before those without work are forgotten: operators add and remove queues all the time. */
+    private static final int MAX_QUEUES = 1_000;
+
+    /** A queue of which less than this arrives counts as without work, in thousandths of a core. */
+    private static final double FORGOTTEN = 1;
+
     /** Sizes are told apart by their power of two. */
     private static final int BUCKETS = 64;
 
@@ -16,11 +22,19 @@
 
     /** Takes a job's work, in milliseconds of a thousandth of a core. */
     void observe(String queue, double work, long now) {
+        if (queues.size() >= MAX_QUEUES && !queues.containsKey(queue)) {
+            queues.values().removeIf(q -> q.all.value(now) < FORGOTTEN);
+        }
         Queue q = queues.computeIfAbsent(queue, x -> new Queue());
         q.all.add(work, now);
         q.bySize[bucket(work)].add(work, now);
     }
 
+    /** Returns how many queues are kept. */
+    int queues() {
+        return queues.size();
+    }
+
     /** Returns how much of a queue arrives, in thousandths of a core. */
     double queueRate(String queue, long now) {
         Queue q = queues.get(queue);
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnedJob.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnedJob.java
@@ -21,7 +21,9 @@
     final Map<VmContact, Long> subscribers = new HashMap<>();
 
     final long arrivedAtMs;
+    /** Whether runs of it may exist that this owner did not start. */
     boolean resumed;
+
     /** When an earlier owner's job was handed over; its unheard runs last no longer than a lease from then. */
     long handedOverAtMs;
 
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/HoldResult.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/HoldResult.java
@@ -29,8 +29,12 @@
      */
     record Rejected(Rejection cause) implements HoldResult {}
 
-    /** No answer came in time, or the endpoint could not be reached. */
-    record Unanswered() implements HoldResult {}
+    /**
+     * No answer came in time, or the endpoint could not be reached.
+     *
+     * @param reason what failed, for the log
+     */
+    record Unanswered(String reason) implements HoldResult {}
 
     /** Why an endpoint does not renew. */
     enum Rejection {
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolCoreTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolCoreTest.java
@@ -202,6 +202,23 @@
         assertEquals(starts(s), 2);
     }
 
+    @Test
+    public void aJobWhoseRunsAreStillThereIsJoinedAndNotRefusedAsNotRun() {
+        PoolSimulation s = opened(2);
+        PoolJob job = PoolJobs.job("job-1", 4, 300);
+        SimulatedVm first = owner(s);
+        s.submitAt(first, job);
+        s.runUntil(s.nowMs() + 20);
+        s.kill(first);
+        s.runUntil(s.nowMs() + 130);
+        for (int i = 0; i < 40; i++) {
+            s.submitAt(owner(s), PoolJobs.job("small-" + i, 4, 100));
+        }
+        PoolSimulation.Caller again = s.submitAt(owner(s), job);
+        s.runUntil(s.nowMs() + 600);
+        assertCompleted(again);
+    }
+
     @Test
     public void aCallerThatLeavesStopsItsRuns() {
         PoolSimulation s = opened(9);
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolSimulation.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolSimulation.java
@@ -410,7 +410,7 @@
             after(h.waitMs() + CALL_TIMEOUT_MS, () -> {
                 if (!replied[0]) {
                     replied[0] = true;
-                    vm.deliver(life, new PoolEvent.HoldEnded(h, new HoldResult.Unanswered()));
+                    vm.deliver(life, new PoolEvent.HoldEnded(h, new HoldResult.Unanswered("no answer in time")));
                 }
             });
         });
