Give the queues of the experiment names of their own

The emulated load carried the names of one site's queues and its town; the code knows no deployment.

--- a/org.gooseberrypier.load/src/main/java/org/gooseberrypier/load/pool/PoolExperiment.java
+++ b/org.gooseberrypier.load/src/main/java/org/gooseberrypier/load/pool/PoolExperiment.java
@@ -265,7 +265,7 @@
         }
 
         /**
-         * Sets how many endpoints there are, 33 as at Tartu otherwise.
+         * Sets how many endpoints there are, 33 as on the smaller sheets otherwise.
          *
          * @param value how many, at least 1
          * @return this builder
--- a/org.gooseberrypier.load/src/main/java/org/gooseberrypier/load/pool/PoolQueueModel.java
+++ b/org.gooseberrypier.load/src/main/java/org/gooseberrypier/load/pool/PoolQueueModel.java
@@ -13,11 +13,11 @@
  */
 public record PoolQueueModel(String name, double perSecond, int tasks, long workMs, double worth) {
 
-    /** The three queues of the users' sheets at Tartu: short and wide, long, and many small ones. */
+    /** Queues like those on the users' sheets: few short tasks side by side, few long ones, and many small jobs. */
     public static final List<PoolQueueModel> USERS = List.of(
-            new PoolQueueModel("cite-check", 24.1, 8, 60, 0.0291),
-            new PoolQueueModel("evidence-bundle", 4.37, 4, 900, 0.16),
-            new PoolQueueModel("embargo-check", 70, 2, 200, 0.01));
+            new PoolQueueModel("wide-short", 24.1, 8, 60, 0.0291),
+            new PoolQueueModel("long", 4.37, 4, 900, 0.16),
+            new PoolQueueModel("narrow", 70, 2, 200, 0.01));
 
     /** Returns the mean work of a job, in milliseconds of a task. */
     double meanWork() {
