Report failures of links and clients to the core as events instead of throwing on its thread

A slow peer's messages piled up in gRPC without a bound. Seen besides while reading every call from the core's thread into I/O: a client that throws instead of failing its future ended the process too, a failed future was swallowed, a poll of the store whose client or receiver threw was never repeated, and an ownership record with an invalid address left the VM without a link for good.

Change: StreamSender sends on both ends of a link with a bounded Outbox in which a heartbeat replaces the waiting one, and reports a failed stream once. EffectPerformer and EndpointListPoller, taken out of PoolVm, turn failures of I/O into the events that the core knows. What may end the process is stated at EffectPerformer and PoolVm.fatalError: a broken invariant, or an error of the JVM. A PoolVm may be opened with port 0.

Tests that failed first: EntryLinksTest (StatusRuntimeException in the first seconds), EffectPerformerTest.

--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/EntryLinks.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/EntryLinks.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -16,10 +17,12 @@
 import org.gooseberrypier.http.HostPort;
 import org.gooseberrypier.pool.PoolEffect;
 import org.gooseberrypier.pool.PoolEvent;
+import org.gooseberrypier.pool.PoolMessage;
 import org.gooseberrypier.pool.VmIncarnation;
 import org.gooseberrypier.protocol.PoolServiceGrpc;
 import org.gooseberrypier.protocol.ToEntryProto;
 import org.gooseberrypier.protocol.ToOwnerProto;
+import org.gooseberrypier.server.log.LogText;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -30,11 +33,13 @@
     /** Interval of the check for silent links, in milliseconds; a quarter of the silence timeout. */
     private static final long CHECK_INTERVAL_MS = 100;
 
+    private final EventLoopGroup group;
     private final Consumer<PoolEvent> events;
     private final Server server;
     private final Map<VmIncarnation, Link> links = new ConcurrentHashMap<>();
 
     EntryLinks(HostPort address, EventLoopGroup group, Consumer<PoolEvent> events) {
+        this.group = group;
         this.events = events;
         this.server = NettyServerBuilder.forAddress(address.toSocketAddress())
                 .bossEventLoopGroup(group)
@@ -53,10 +58,23 @@
                         this::closeSilentLinks, CHECK_INTERVAL_MS, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
 
+    /** Returns the address that this VM listens on, with the actual port if it was opened with port 0. */
+    HostPort address() {
+        InetSocketAddress a = (InetSocketAddress) server.getListenSockets().get(0);
+        return new HostPort(a.getAddress().getHostAddress(), a.getPort());
+    }
+
+    /** Sends a message to an entry VM; a link that fails is closed and reported by {@link PoolEvent.EntryLinkDown}. */
     void send(PoolEffect.SendToEntry effect) {
         Link link = links.get(effect.vm());
-        if (link != null) {
-            link.send(PoolMessageCodec.encode(effect.message()));
+        if (link == null) {
+            return;
+        }
+        ToEntryProto encoded = PoolMessageCodec.encode(effect.message());
+        if (effect.message() instanceof PoolMessage.Heartbeat) {
+            link.sender.sendPeriodic(encoded);
+        } else {
+            link.sender.send(encoded);
         }
     }
 
@@ -91,20 +109,19 @@
 
     private final class Link implements StreamObserver<ToOwnerProto> {
 
-        private final ServerCallStreamObserver<ToEntryProto> out;
+        private final StreamSender<ToEntryProto> sender;
         private volatile VmIncarnation vm;
         private volatile long lastReceivedNanos = System.nanoTime();
         private volatile boolean confirmationRequested;
-        private boolean ended;
 
         Link(ServerCallStreamObserver<ToEntryProto> out) {
-            this.out = out;
-        }
-
-        synchronized void send(ToEntryProto message) {
-            if (!ended) {
-                out.onNext(message);
-            }
+            // The failure is published by an event loop: the core's thread, which sends, cannot wait for room in its
+            // ring.
+            sender = new StreamSender<>(
+                    out, PoolMessageCodec::mergeHeartbeats, reason -> group.execute(() -> onSendFailure(reason)));
+            out.setOnReadyHandler(sender::drain);
+            // With a handler, gRPC drops messages to a cancelled stream instead of throwing.
+            out.setOnCancelHandler(this::disconnect);
         }
 
         @Override
@@ -122,14 +139,19 @@
             }
         }
 
-        private void attach(VmIncarnation sender) {
-            vm = sender;
-            Link previous = links.put(sender, this);
+        private void attach(VmIncarnation from) {
+            vm = from;
+            Link previous = links.put(from, this);
             if (previous != null) {
-                previous.end();
+                previous.sender.end();
             }
-            events.accept(new PoolEvent.EntryLinkUp(sender));
-            send(ToEntryProto.newBuilder().setWelcome(true).build());
+            events.accept(new PoolEvent.EntryLinkUp(from));
+            sender.send(ToEntryProto.newBuilder().setWelcome(true).build());
+        }
+
+        private void onSendFailure(String reason) {
+            LOG.warn("event=entry_link_failed vm={} reason={}", vm == null ? "" : vm.address(), LogText.quote(reason));
+            disconnect();
         }
 
         @Override
@@ -142,21 +164,12 @@
             disconnect();
         }
 
+        /** Ends the stream and reports the loss of the link, once. */
         void disconnect() {
-            end();
+            sender.end();
             if (vm != null && links.remove(vm, this)) {
                 events.accept(new PoolEvent.EntryLinkDown(vm));
             }
         }
-
-        private synchronized void end() {
-            if (ended) {
-                return;
-            }
-            ended = true;
-            if (!out.isCancelled()) {
-                out.onCompleted();
-            }
-        }
     }
 }
--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/OwnerLink.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/OwnerLink.java
@@ -6,7 +6,8 @@
 import io.grpc.ManagedChannel;
 import io.grpc.Status;
 import io.grpc.netty.NettyChannelBuilder;
-import io.grpc.stub.StreamObserver;
+import io.grpc.stub.ClientCallStreamObserver;
+import io.grpc.stub.ClientResponseObserver;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -19,6 +20,7 @@
 import org.gooseberrypier.protocol.ToEntryProto;
 import org.gooseberrypier.protocol.ToOwnerProto;
 import org.gooseberrypier.server.ConnectErrors;
+import org.gooseberrypier.server.log.LogText;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -53,6 +55,7 @@
 
     private final VmIncarnation self;
     private final String peer;
+    private final HostPort address;
     private final EventLoop loop;
     private final Consumer<PoolEvent> events;
     private final ScheduledFuture<?> timer;
@@ -62,6 +65,7 @@
     OwnerLink(VmIncarnation self, String peer, EventLoop loop, Consumer<PoolEvent> events) {
         this.self = self;
         this.peer = peer;
+        this.address = HostPort.parse(peer);
         this.loop = loop;
         this.events = events;
         this.timer = loop.scheduleWithFixedDelay(
@@ -73,7 +77,7 @@
         ToOwnerProto encoded = PoolMessageCodec.encode(message);
         loop.execute(() -> {
             if (attempt != null) {
-                attempt.out.onNext(encoded);
+                attempt.sender.send(encoded);
             }
         });
     }
@@ -83,16 +87,22 @@
             closed = true;
             timer.cancel(false);
             if (attempt != null) {
-                attempt.channel.shutdownNow();
+                attempt.close();
                 attempt = null;
             }
         });
     }
 
     private void connect() {
-        if (!closed && attempt == null) {
-            attempt = new Attempt();
+        if (closed || attempt != null) {
+            return;
+        }
+        attempt = new Attempt();
+        try {
             attempt.open();
+        } catch (RuntimeException e) {
+            LOG.warn("event=owner_link_failed peer={} reason={}", peer, LogText.quote(e));
+            closeAndReconnect(attempt, false);
         }
     }
 
@@ -105,7 +115,7 @@
             LOG.warn("event=owner_silent peer={} silent_ms={}", peer, silentMs);
             closeAndReconnect(attempt, false);
         } else {
-            attempt.out.onNext(ToOwnerProto.newBuilder().setAlive(true).build());
+            attempt.sender.sendPeriodic(ToOwnerProto.newBuilder().setAlive(true).build());
         }
     }
 
@@ -114,21 +124,23 @@
             return;
         }
         attempt = null;
-        failed.channel.shutdownNow();
+        failed.close();
         events.accept(new PoolEvent.OwnerLinkDown(peer, refused));
         loop.schedule(this::connect, RECONNECT_DELAY_MS, TimeUnit.MILLISECONDS);
     }
 
     /** One connection with one stream; it is not reopened after a failure. */
-    private final class Attempt implements StreamObserver<ToEntryProto> {
+    private final class Attempt implements ClientResponseObserver<ToOwnerProto, ToEntryProto> {
 
         private final ManagedChannel channel;
-        private StreamObserver<ToOwnerProto> out;
+        /** Null until the stream has been started. */
+        private StreamSender<ToOwnerProto> sender;
+
         private long lastReceivedNanos = System.nanoTime();
         private boolean welcomed;
 
         Attempt() {
-            channel = NettyChannelBuilder.forAddress(HostPort.parse(peer).toSocketAddress())
+            channel = NettyChannelBuilder.forAddress(address.toSocketAddress())
                     .eventLoopGroup(loop)
                     .channelType(NioSocketChannel.class)
                     .withOption(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
@@ -141,12 +153,30 @@
         }
 
         void open() {
-            out = PoolServiceGrpc.newStub(channel).attach(this);
-            out.onNext(ToOwnerProto.newBuilder()
+            PoolServiceGrpc.newStub(channel).attach(this);
+            sender.send(ToOwnerProto.newBuilder()
                     .setHello(PoolMessageCodec.encode(self))
                     .build());
         }
 
+        void close() {
+            if (sender != null) {
+                sender.abandon();
+            }
+            channel.shutdownNow();
+        }
+
+        @Override
+        public void beforeStart(ClientCallStreamObserver<ToOwnerProto> out) {
+            sender = new StreamSender<>(out, (earlier, later) -> later, this::onSendFailure);
+            out.setOnReadyHandler(sender::drain);
+        }
+
+        private void onSendFailure(String reason) {
+            LOG.warn("event=owner_link_failed peer={} reason={}", peer, LogText.quote(reason));
+            loop.execute(() -> closeAndReconnect(this, false));
+        }
+
         @Override
         public void onNext(ToEntryProto message) {
             loop.execute(() -> receive(message));
--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolMessageCodec.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolMessageCodec.java
@@ -112,6 +112,20 @@
         return out.build();
     }
 
+    /**
+     * Returns the heartbeat that tells what two consecutive ones tell: a list of VMs is sent only after a change, so the
+     * earlier one's remains valid if the later one has none.
+     */
+    static ToEntryProto mergeHeartbeats(ToEntryProto earlier, ToEntryProto later) {
+        if (later.getHeartbeat().getPeersCount() > 0) {
+            return later;
+        }
+        return ToEntryProto.newBuilder()
+                .setHeartbeat(later.getHeartbeat().toBuilder()
+                        .addAllPeers(earlier.getHeartbeat().getPeersList()))
+                .build();
+    }
+
     private static FinishedProto encode(PoolMessage.JobFinished f) {
         FinishedProto.Builder out = FinishedProto.newBuilder().setJob(f.job());
         if (f.outcome() instanceof JobOutcome.Completed) {
--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolVm.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolVm.java
@@ -14,7 +14,6 @@
 import org.gooseberrypier.pool.JobOutcome;
 import org.gooseberrypier.pool.PoolConfiguration;
 import org.gooseberrypier.pool.PoolCore;
-import org.gooseberrypier.pool.PoolEffect;
 import org.gooseberrypier.pool.PoolEvent;
 import org.gooseberrypier.pool.PoolJob;
 import org.gooseberrypier.pool.VmIncarnation;
@@ -40,12 +39,6 @@
     /** Long-poll timeout of a read of the configuration, in milliseconds. */
     private static final long CONFIGURATION_POLL_TIMEOUT_MS = 700;
 
-    /** Interval at which an owner reads the endpoints, in milliseconds; short enough to notice a drain in time. */
-    private static final long OWNER_LIST_INTERVAL_MS = 400;
-
-    /** Interval at which a VM that is not the owner reads the endpoints, in milliseconds. */
-    private static final long FOLLOWER_LIST_INTERVAL_MS = 3_000;
-
     /**
      * Threshold for a change of the offset between the wall clock and the monotonic clock, in milliseconds; a greater
      * change indicates a pause of the VM or a step of the wall clock, smaller ones are usual clock corrections.
@@ -53,45 +46,42 @@
     private static final long CLOCK_JUMP_THRESHOLD_MS = 150;
 
     private final VmIncarnation self;
-    private final EventLoopGroup group;
-    private final PoolStore store;
-    private final EndpointClient endpoints;
     private final PoolCore core;
     private final EventRing<PoolEvent> ring;
     private final EntryLinks entries;
+    private final EndpointListPoller endpointList;
+    private final EffectPerformer effects;
     private final StorePoller<?> ownership;
     private final StorePoller<?> configurations;
-    private final PoolMeters meters;
     private final OpenCalls calls = new OpenCalls();
     private final CompletableFuture<Throwable> fatalError = new CompletableFuture<>();
     private volatile Optional<PoolConfiguration> configuration = Optional.empty();
     private volatile boolean hasOwner;
-    private volatile boolean owner;
-    private volatile boolean closed;
-    private OwnerLink link;
-    /** Whether a read of the endpoints is under way; cleared on an event loop. */
-    private volatile boolean listing;
-
-    private long nextListAtMs;
     private long nextTickAtMs;
     private long clockOffsetMs = System.currentTimeMillis() - nowMs();
 
     private PoolVm(Builder builder) {
+        EventLoopGroup group = builder.group;
+        PoolStore store = builder.store;
+        PoolMeters meters = new PoolMeters(builder.registry);
+        ring = new EventRing<>(
+                "pool-core", RING_SIZE, this::handle, this::tick, this::nextTickDelayMs, this::stopOnError);
+        entries = new EntryLinks(builder.address, group, ring::publish);
         self = new VmIncarnation(
-                builder.address.toString(),
+                entries.address().toString(),
                 builder.zone,
                 ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE),
                 builder.milliCores);
-        group = builder.group;
-        store = builder.store;
-        endpoints = builder.endpoints;
-        meters = new PoolMeters(builder.registry);
-        meters.gauge("owner", "Whether this VM owns endpoints", () -> owner);
+        endpointList = new EndpointListPoller(store, ring::publish);
+        effects = new EffectPerformer(
+                self,
+                new EffectPerformer.Clients(group, store, builder.endpoints, entries, endpointList),
+                calls,
+                meters,
+                ring::publish);
+        core = new PoolCore(self, builder.remotePenalty, nowMs(), effects::perform);
+        meters.gauge("owner", "Whether this VM owns endpoints", endpointList::isOwner);
         meters.gauge("linked", "Whether jobs can be handed to an owner", () -> hasOwner);
-        core = new PoolCore(self, builder.remotePenalty, nowMs(), this::perform);
-        ring = new EventRing<>(
-                "pool-core", RING_SIZE, this::handle, this::tick, this::nextTickDelayMs, this::stopOnError);
-        entries = new EntryLinks(builder.address, group, ring::publish);
         ownership = new StorePoller<>(
                 "ownership",
                 group,
@@ -191,6 +181,15 @@
         return core.waitingJobs(queue);
     }
 
+    /**
+     * Returns the address on which this VM listens for other VMs.
+     *
+     * @return the address, with the actual port if the VM was opened with port 0
+     */
+    public HostPort address() {
+        return entries.address();
+    }
+
     /**
      * Returns the operators' configuration.
      *
@@ -210,7 +209,8 @@
     }
 
     /**
-     * Returns the error that stopped the core of this VM, such as a violated invariant.
+     * Returns the error that stopped the core of this VM: a violated invariant, or an error of the JVM. Failures of I/O do
+     * not stop it, since they reach the core as events.
      *
      * @return completed with the error; never completed if there is none
      */
@@ -226,14 +226,14 @@
     /** Stops without waiting for jobs in flight. */
     @Override
     public void close() {
-        closed = true;
         ownership.close();
         configurations.close();
+        effects.close();
         entries.close();
         ring.close();
     }
 
-    private static long nowMs() {
+    static long nowMs() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
 
@@ -274,25 +274,10 @@
             nextTickAtMs = now + (core.isOwner() ? OWNER_TICK_INTERVAL_MS : FOLLOWER_TICK_INTERVAL_MS);
             core.handle(new PoolEvent.Tick(), now);
         }
-        if (now >= nextListAtMs && !listing) {
-            readEndpoints(now);
-        }
+        endpointList.poll(now);
         hasOwner = core.hasOwner();
     }
 
-    private void readEndpoints(long now) {
-        listing = true;
-        nextListAtMs = now + (owner ? OWNER_LIST_INTERVAL_MS : FOLLOWER_LIST_INTERVAL_MS);
-        store.readEndpoints().whenComplete((list, error) -> {
-            listing = false;
-            if (error == null) {
-                ring.publish(new PoolEvent.EndpointsRead(list, now));
-            } else {
-                LOG.warn("event=endpoints_not_read error=\"{}\"", error.getMessage());
-            }
-        });
-    }
-
     private void updateConfiguration(PoolConfiguration read) {
         Optional<PoolConfiguration> known = configuration;
         if (known.isEmpty() || known.get().version() < read.version()) {
@@ -304,78 +289,6 @@
         }
     }
 
-    private void perform(PoolEffect effect) {
-        if (effect instanceof PoolEffect.Log l) {
-            log(l);
-        } else if (effect instanceof PoolEffect.RenewLeases h) {
-            endpoints.renewLeases(h).thenAccept(r -> {
-                meters.recordLeaseRenewal(r);
-                ring.publish(new PoolEvent.LeaseRenewalEnded(h, r));
-            });
-        } else if (effect instanceof PoolEffect.Start s) {
-            endpoints.start(s).thenAccept(r -> {
-                meters.recordStart(r);
-                ring.publish(new PoolEvent.StartEnded(s, r));
-            });
-        } else if (effect instanceof PoolEffect.Stop s) {
-            endpoints.stop(s).thenAccept(r -> ring.publish(new PoolEvent.StopEnded(s, r)));
-        } else if (effect instanceof PoolEffect.Answer a) {
-            answer(a);
-        } else if (effect instanceof PoolEffect.SendToOwner s && link != null) {
-            link.send(s.message());
-        } else if (effect instanceof PoolEffect.SendToEntry s) {
-            entries.send(s);
-        } else if (effect instanceof PoolEffect.LinkOwner l) {
-            linkOwner(l.peer());
-        } else if (effect instanceof PoolEffect.PollEndpoints f) {
-            owner = f.owner();
-            nextListAtMs = 0;
-        } else if (effect instanceof PoolEffect.Claim c) {
-            store.claim(c.expectedOffset(), c.owner()).thenAccept(r -> {
-                meters.recordClaim(r);
-                ring.publish(new PoolEvent.ClaimEnded(c.owner(), r));
-            });
-        } else if (effect instanceof PoolEffect.ReadOwnership) {
-            readOwnership();
-        }
-    }
-
-    private void readOwnership() {
-        long requestedAtMs = nowMs();
-        store.readOwnership(PoolStore.NEWEST, 0).whenComplete((page, error) -> {
-            if (error == null) {
-                ring.publish(new PoolEvent.OwnershipRead(page.nextOffset(), page.newest(), requestedAtMs));
-            } else {
-                LOG.warn("event=ownership_not_read error=\"{}\"", error.getMessage());
-            }
-        });
-    }
-
-    private static void log(PoolEffect.Log line) {
-        if (line.warning()) {
-            LOG.warn(line.text());
-        } else {
-            LOG.info(line.text());
-        }
-    }
-
-    private void answer(PoolEffect.Answer a) {
-        calls.remove(a.call()).ifPresent(call -> {
-            meters.recordOutcome(a.outcome(), System.nanoTime() - call.startedNanos());
-            call.outcome().complete(a.outcome());
-        });
-    }
-
-    private void linkOwner(String peer) {
-        if (link != null) {
-            link.close();
-            link = null;
-        }
-        if (!peer.isEmpty() && !closed) {
-            link = new OwnerLink(self, peer, group.next(), ring::publish);
-        }
-    }
-
     private void stopOnError(Throwable error) {
         LOG.error("event=fatal error=\"{}\"", error.toString(), error);
         fatalError.complete(error);
@@ -398,7 +311,7 @@
         }
 
         /**
-         * Sets the address on which this VM listens for other VMs.
+         * Sets the address on which this VM listens for other VMs; port 0 chooses a free port.
          *
          * @param value the address
          * @return this builder
--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/StorePoller.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/StorePoller.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
 
+import org.gooseberrypier.server.log.LogText;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -61,7 +62,15 @@
     void start() {
         if (!closed) {
             requestedAtMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-            reader.apply(nextOffset, pollTimeoutMs).whenComplete(this::handleResult);
+            read().whenComplete(this::handleResult);
+        }
+    }
+
+    private CompletableFuture<PoolStore.Page<T>> read() {
+        try {
+            return reader.apply(nextOffset, pollTimeoutMs);
+        } catch (RuntimeException e) {
+            return CompletableFuture.failedFuture(e);
         }
     }
 
@@ -84,10 +93,19 @@
             }
             nextOffset = page.nextOffset();
             delayMs = READ_DELAY_MS;
-            sink.accept(page, requestedAtMs);
+            accept(page);
         }
         if (!closed) {
             timers.schedule(this::start, delayMs, TimeUnit.MILLISECONDS);
         }
     }
+
+    /** Passes a page on; a failure must not end the polling. */
+    private void accept(PoolStore.Page<T> page) {
+        try {
+            sink.accept(page, requestedAtMs);
+        } catch (RuntimeException e) {
+            LOG.error("event=page_not_applied records={} error={}", name, LogText.quote(e), e);
+        }
+    }
 }
