Place tasks once for all events that wait

Cause: after a restart of all VMs the new owner planned all waiting jobs after each answer of an endpoint.

Change: the ring tells which event is the last of those that wait; PoolCore places tasks after that one or at a tick. Placement then also sees all endpoints that have answered and not only the first.

--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolVm.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolVm.java
@@ -237,9 +237,9 @@
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
 
-    private void handle(PoolEvent event) {
+    private void handle(PoolEvent event, boolean endOfBatch) {
         checkClocks();
-        core.handle(event, nowMs());
+        core.handle(event, nowMs(), !endOfBatch);
         runDueTimers();
     }
 
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/api/Dispatcher.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/api/Dispatcher.java
@@ -23,7 +23,7 @@
         ring = new EventRing<>(
                 "dispatcher-core",
                 builder.ringSize,
-                action -> action.accept(core),
+                (action, endOfBatch) -> action.accept(core),
                 () -> core.advance(clock.getAsLong()),
                 this::sleepMs,
                 error -> builder.onFatalError.accept(error, core));
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/engine/EventRing.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/engine/EventRing.java
@@ -1,6 +1,7 @@
 package org.gooseberrypier.internal.engine;
 
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
@@ -28,7 +29,8 @@
      *
      * @param name the name of the consumer thread
      * @param size the capacity in elements, a power of two
-     * @param handler handles each element on the consumer thread
+     * @param handler handles each element on the consumer thread; the second argument is whether no further element was
+     *     waiting when the elements before it were taken from the ring
      * @param advance called on the consumer thread when a wait ends without an element
      * @param sleepMs supplies how long the consumer thread may sleep, in milliseconds; called on that thread
      * @param onFatalError called with an error of the handler, after which no further element is handled
@@ -36,7 +38,7 @@
     public EventRing(
             String name,
             int size,
-            Consumer<E> handler,
+            BiConsumer<E, Boolean> handler,
             Runnable advance,
             LongSupplier sleepMs,
             Consumer<Throwable> onFatalError) {
@@ -92,13 +94,13 @@
         private E element;
     }
 
-    private record Consumption<E>(Consumer<E> handler, Runnable advance) implements EventHandler<Slot<E>> {
+    private record Consumption<E>(BiConsumer<E, Boolean> handler, Runnable advance) implements EventHandler<Slot<E>> {
 
         @Override
         public void onEvent(Slot<E> slot, long sequence, boolean endOfBatch) {
             E element = slot.element;
             slot.element = null;
-            handler.accept(element);
+            handler.accept(element, endOfBatch);
         }
 
         @Override
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
@@ -60,15 +60,18 @@
     }
 
     /**
-     * Handles an event.
+     * Handles an event. Tasks are placed after the last of several events that follow each other without a wait, and after
+     * each tick. Load pattern: many endpoints answer at the same time while many jobs wait, as after a restart of all VMs;
+     * a placement after each answer takes most of the processor and sees only the endpoints that answered first.
      *
      * @param event what happened
      * @param nowMs the current time of the steady clock, in milliseconds
+     * @param moreFollow whether another event follows without a wait
      */
-    public void handle(PoolEvent event, long nowMs) {
+    public void handle(PoolEvent event, long nowMs, boolean moreFollow) {
         board.now = nowMs;
         dispatch(event);
-        processPending();
+        processPending(!moreFollow || event instanceof PoolEvent.Tick);
     }
 
     private void dispatch(PoolEvent event) {
@@ -180,8 +183,11 @@
         return vms;
     }
 
-    /** Applies changes of ownership, then delivers messages within this VM and places tasks until no message is left. */
-    private void processPending() {
+    /**
+     * Applies changes of ownership, then delivers messages within this VM and, if asked for, places tasks until no message is
+     * left.
+     */
+    private void processPending(boolean place) {
         applyRole();
         boolean pending = true;
         while (pending) {
@@ -194,7 +200,7 @@
                 entry.onMessage(m);
                 pending = true;
             }
-            if (board.isOwner() && board.placementDue && board.unconfirmedSinceMs == 0) {
+            if (place && board.isOwner() && board.placementDue && board.unconfirmedSinceMs == 0) {
                 jobs.placeTasks();
             }
         }
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/PoolCore.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/PoolCore.java
@@ -50,7 +50,19 @@
      * @param nowMs the current time of the steady clock, in milliseconds
      */
     public void handle(PoolEvent event, long nowMs) {
-        engine.handle(event, nowMs);
+        handle(event, nowMs, false);
+    }
+
+    /**
+     * Handles an event, after which more events may follow without a wait. The placement of tasks, which costs more than
+     * most events, is deferred until the last of them or until the next {@link PoolEvent.Tick}.
+     *
+     * @param event the event
+     * @param nowMs the current time of the steady clock, in milliseconds
+     * @param moreFollow whether the caller handles another event directly after this one
+     */
+    public void handle(PoolEvent event, long nowMs, boolean moreFollow) {
+        engine.handle(event, nowMs, moreFollow);
     }
 
     /**
