Do not take silence for a loss while the own event loop is blocked

Cause of the red PlatformVmTest.jobsOfAllVmsAreCompleted, from the log of a failed run: a VM that starts beside busy processes blocks its event loop for 0.5 to 0.6 s when it uses gRPC for the first time. The store's and the owner's messages wait unread, the core counts them as silent, and after 600 ms the VM owns its zone under a token that fences the live owner. That one claims again, a job that was forwarded meanwhile is resumed and waits 1.6 s for the guard on earlier runs, and is then too late: 504. The same can happen on every small VM that starts or lacks processor time.

Change: LoopCheck runs the checks for silent links and measures how late it runs; LoopLag decides. After a blockage silent links are judged one interval later, once what had arrived is read; the core gets LoopBlocked and leaves that time out of the silence of store and owner; ticks of a VM that is not the owner are skipped while its loop is blocked, for 1.5 s at most. A loop that is always late is exempt only once, so that detection is later by at most one interval.

--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/EntryLinks.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/EntryLinks.java
@@ -36,6 +36,7 @@
     private final EventLoopGroup group;
     private final Consumer<PoolEvent> events;
     private final Server server;
+    private final LoopCheck silenceCheck;
     private final Map<VmIncarnation, Link> links = new ConcurrentHashMap<>();
 
     EntryLinks(HostPort address, EventLoopGroup group, Consumer<PoolEvent> events) {
@@ -53,9 +54,7 @@
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
-        group.next()
-                .scheduleWithFixedDelay(
-                        this::closeSilentLinks, CHECK_INTERVAL_MS, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        silenceCheck = new LoopCheck("entry_links", group.next(), CHECK_INTERVAL_MS, this::closeSilentLinks);
     }
 
     /** Returns the address that this VM listens on, with the actual port if it was opened with port 0. */
@@ -78,12 +77,21 @@
         }
     }
 
+    /** Returns whether the event loop of this VM is or was blocked, so that messages of other VMs may wait unread. */
+    boolean isLoopBlocked() {
+        return silenceCheck.isBlocked();
+    }
+
     /** Publishes {@link PoolEvent.EntryLinkConfirmed} for each linked VM when its next message arrives. */
     void requestConfirmation() {
         links.values().forEach(l -> l.confirmationRequested = true);
     }
 
-    private void closeSilentLinks() {
+    private void closeSilentLinks(long blockedMs) {
+        if (blockedMs > 0) {
+            events.accept(new PoolEvent.LoopBlocked(blockedMs));
+            return;
+        }
         long now = System.nanoTime();
         for (Link l : links.values()) {
             long silentMs = TimeUnit.NANOSECONDS.toMillis(now - l.lastReceivedNanos);
@@ -96,6 +104,7 @@
 
     @Override
     public void close() {
+        silenceCheck.close();
         server.shutdownNow();
     }
 
--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/OwnerLink.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/OwnerLink.java
@@ -11,7 +11,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.util.concurrent.ScheduledFuture;
 import org.gooseberrypier.http.HostPort;
 import org.gooseberrypier.pool.PoolEvent;
 import org.gooseberrypier.pool.PoolMessage;
@@ -58,7 +57,7 @@
     private final HostPort address;
     private final EventLoop loop;
     private final Consumer<PoolEvent> events;
-    private final ScheduledFuture<?> timer;
+    private final LoopCheck silenceCheck;
     private Attempt attempt;
     private boolean closed;
 
@@ -68,8 +67,7 @@
         this.address = HostPort.parse(peer);
         this.loop = loop;
         this.events = events;
-        this.timer = loop.scheduleWithFixedDelay(
-                this::checkSilence, KEEP_ALIVE_INTERVAL_MS, KEEP_ALIVE_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        this.silenceCheck = new LoopCheck("owner_link", loop, KEEP_ALIVE_INTERVAL_MS, this::checkSilence);
         loop.execute(this::connect);
     }
 
@@ -85,7 +83,7 @@
     void close() {
         loop.execute(() -> {
             closed = true;
-            timer.cancel(false);
+            silenceCheck.close();
             if (attempt != null) {
                 attempt.close();
                 attempt = null;
@@ -106,12 +104,12 @@
         }
     }
 
-    private void checkSilence() {
+    private void checkSilence(long blockedMs) {
         if (attempt == null) {
             return;
         }
         long silentMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - attempt.lastReceivedNanos);
-        if (silentMs > (attempt.welcomed ? SILENCE_TIMEOUT_MS : WELCOME_TIMEOUT_MS)) {
+        if (blockedMs == 0 && silentMs > (attempt.welcomed ? SILENCE_TIMEOUT_MS : WELCOME_TIMEOUT_MS)) {
             LOG.warn("event=owner_silent peer={} silent_ms={}", peer, silentMs);
             closeAndReconnect(attempt, false);
         } else {
--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolVm.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolVm.java
@@ -33,6 +33,12 @@
     /** Interval at which a VM that is not the owner runs its timers, in milliseconds. */
     private static final long FOLLOWER_TICK_INTERVAL_MS = 40;
 
+    /**
+     * Time for which ticks of a VM that is not the owner are skipped at most while its event loop is blocked, in
+     * milliseconds. Such a VM does not receive the owner's and the store's messages and would take both for lost.
+     */
+    private static final long MAX_FOLLOWER_TICK_DELAY_MS = 1_500;
+
     /** Long-poll timeout of a read of the ownership, in milliseconds; below the core's timeout for a silent store. */
     private static final long OWNERSHIP_POLL_TIMEOUT_MS = 350;
 
@@ -58,6 +64,7 @@
     private volatile Optional<PoolConfiguration> configuration = Optional.empty();
     private volatile boolean hasOwner;
     private long nextTickAtMs;
+    private long tickedAtMs = nowMs();
     private long clockOffsetMs = System.currentTimeMillis() - nowMs();
 
     private PoolVm(Builder builder) {
@@ -271,8 +278,12 @@
     private void runDueTimers() {
         long now = nowMs();
         if (now >= nextTickAtMs) {
-            nextTickAtMs = now + (core.isOwner() ? OWNER_TICK_INTERVAL_MS : FOLLOWER_TICK_INTERVAL_MS);
-            core.handle(new PoolEvent.Tick(), now);
+            boolean isOwner = core.isOwner();
+            nextTickAtMs = now + (isOwner ? OWNER_TICK_INTERVAL_MS : FOLLOWER_TICK_INTERVAL_MS);
+            if (isOwner || !entries.isLoopBlocked() || now - tickedAtMs >= MAX_FOLLOWER_TICK_DELAY_MS) {
+                tickedAtMs = now;
+                core.handle(new PoolEvent.Tick(), now);
+            }
         }
         endpointList.poll(now);
         hasOwner = core.hasOwner();
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnershipController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnershipController.java
@@ -276,6 +276,15 @@
         }
     }
 
+    /**
+     * Excludes time in which this VM received nothing from the silence of the store and of the owner. Load pattern: VMs that
+     * start or lack processor time, while the owner and the store answer in time.
+     */
+    void onLoopBlocked(long blockedMs) {
+        storeAnsweredAtMs = Math.min(board.now, storeAnsweredAtMs + blockedMs);
+        ownerLostAtMs = Math.min(board.now, ownerLostAtMs + blockedMs);
+    }
+
     private void expireUnconfirmed() {
         if (board.unconfirmedSinceMs > 0 && board.now - board.unconfirmedSinceMs >= UNCONFIRMED_TIMEOUT_MS) {
             board.unconfirmedSinceMs = 0;
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
@@ -96,6 +96,8 @@
         } else if (event instanceof PoolEvent.PauseDetected) {
             ownership.onPauseDetected();
             entryLinks.keySet().forEach(jobs::onEntryLinkDown);
+        } else if (event instanceof PoolEvent.LoopBlocked e) {
+            ownership.onLoopBlocked(e.blockedMs());
         } else if (event instanceof PoolEvent.StopRequested) {
             ownership.handOverOwnership(successors());
         } else {
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/PoolEvent.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/PoolEvent.java
@@ -138,6 +138,14 @@
      */
     record StopEnded(PoolEffect.Stop stop, boolean accepted) implements PoolEvent {}
 
+    /**
+     * This VM received nothing for a while, since the thread that receives messages had no processor or was blocked. Silence
+     * of other VMs and of the store during this time means nothing.
+     *
+     * @param blockedMs the time, in milliseconds
+     */
+    record LoopBlocked(long blockedMs) implements PoolEvent {}
+
     /** The VM may have been paused for a time that its steady clock did not count. */
     record PauseDetected() implements PoolEvent {}
 
