--- a/org.gooseberrypier.pgm/src/main/java/org/gooseberrypier/pgm/PlatformRehearseCommand.java
+++ b/org.gooseberrypier.pgm/src/main/java/org/gooseberrypier/pgm/PlatformRehearseCommand.java
@@ -1,5 +1,7 @@
 package org.gooseberrypier.pgm;
 
+import java.io.IOException;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -7,6 +9,7 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import org.gooseberrypier.http.HttpReply;
+import org.gooseberrypier.platform.PlatformSettings;
 import org.gooseberrypier.platform.standin.LocalDeployment;
 
 /** Runs a small deployment on stand-ins of the users' platform in this process and submits jobs to it. */
@@ -24,8 +27,21 @@
     @Parameter(names = "--jobs", description = "the number of jobs")
     private int jobs = 40;
 
+    @Parameter(
+            names = "--settings",
+            description = "a settings file of the platform to read and check first, as an entry VM does")
+    private Path settings;
+
     @Override
     public int call() {
+        if (settings != null) {
+            try {
+                PlatformSettings.read(settings);
+            } catch (IOException | IllegalArgumentException e) {
+                System.err.println(settings + ": " + e.getMessage());
+                return ExitCode.USAGE;
+            }
+        }
         try (LocalDeployment deployment = new LocalDeployment(vms, endpoints)) {
             for (int i = 0; i < vms; i++) {
                 deployment.awaitReady(i);
--- /dev/null
+++ b/org.gooseberrypier.server/src/test/java/org/gooseberrypier/server/log/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the configuration of logging. */
+package org.gooseberrypier.server.log;
--- a/tools/write-class-archive.sh
+++ b/tools/write-class-archive.sh
@@ -17,7 +17,7 @@
 
 rm -f "$archive" "$archive.new"
 timeout "$timeout_s" java -XX:+UseSerialGC -Xlog:disable -XX:ArchiveClassesAtExit="$archive.new" \
-  -jar "$program" platform rehearse > "$log" 2>&1
+  -Dgooseberrypier.log.stdout=true -jar "$program" platform rehearse --settings examples/platform.toml > "$log" 2>&1
 status=$?
 # The rehearsal loads the classes also when some of its jobs fail, which is exit code 1.
 [ "$status" -le 1 ] || warn "the rehearsal ended with exit code $status"
