Do not count a forward to a VM that owned nothing as an earlier owner

Change: a VM that owns nothing answers a forwarded job with JobNotAdmitted, and the entry VM no longer counts that forward. Each forward is answered by itself, also after the link has ended, so that a later forward is not hidden. The field not_admitted of ToEntryProto is new; VMs that do not know it skip it, and jobs then count as before. A job that nobody admitted is refused as not run instead of unknown.

--- a/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/Pool.java
+++ b/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/Pool.java
@@ -98,16 +98,17 @@
       "tactProto\022E\n\007waiting\030\003 \003(\01324.gooseberryp" +
       "ier.pool.PoolHeartbeatProto.WaitingEntry" +
       "\032.\n\014WaitingEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002" +
-      " \001(\005:\0028\001\"\360\001\n\014ToEntryProto\0227\n\ttask_done\030\001" +
+      " \001(\005:\0028\001\"\210\002\n\014ToEntryProto\0227\n\ttask_done\030\001" +
       " \001(\0132\".gooseberrypier.pool.TaskDoneProto" +
       "H\000\0226\n\010finished\030\002 \001(\0132\".gooseberrypier.po" +
       "ol.FinishedProtoH\000\022<\n\theartbeat\030\003 \001(\0132\'." +
       "gooseberrypier.pool.PoolHeartbeatProtoH\000" +
       "\022\023\n\tnot_owner\030\004 \001(\003H\000\022\021\n\007welcome\030\005 \001(\010H\000" +
-      "B\t\n\007message2a\n\013PoolService\022R\n\006Attach\022!.g" +
-      "ooseberrypier.pool.ToOwnerProto\032!.gooseb" +
-      "errypier.pool.ToEntryProto(\0010\001B\037\n\033org.go" +
-      "oseberrypier.protocolP\001b\006proto3"
+      "\022\026\n\014not_admitted\030\006 \001(\tH\000B\t\n\007message2a\n\013P" +
+      "oolService\022R\n\006Attach\022!.gooseberrypier.po" +
+      "ol.ToOwnerProto\032!.gooseberrypier.pool.To" +
+      "EntryProto(\0010\001B\037\n\033org.gooseberrypier.pro" +
+      "tocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -166,7 +167,7 @@
     internal_static_gooseberrypier_pool_ToEntryProto_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_gooseberrypier_pool_ToEntryProto_descriptor,
-        new java.lang.String[] { "TaskDone", "Finished", "Heartbeat", "NotOwner", "Welcome", "Message", });
+        new java.lang.String[] { "TaskDone", "Finished", "Heartbeat", "NotOwner", "Welcome", "NotAdmitted", "Message", });
   }
 
   // @@protoc_insertion_point(outer_class_scope)
--- a/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/ToEntryProto.java
+++ b/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/ToEntryProto.java
@@ -54,6 +54,7 @@
     HEARTBEAT(3),
     NOT_OWNER(4),
     WELCOME(5),
+    NOT_ADMITTED(6),
     MESSAGE_NOT_SET(0);
     private final int value;
     private MessageCase(int value) {
@@ -76,6 +77,7 @@
         case 3: return HEARTBEAT;
         case 4: return NOT_OWNER;
         case 5: return WELCOME;
+        case 6: return NOT_ADMITTED;
         case 0: return MESSAGE_NOT_SET;
         default: return null;
       }
@@ -234,6 +236,70 @@
     return false;
   }
 
+  public static final int NOT_ADMITTED_FIELD_NUMBER = 6;
+  /**
+   * <pre>
+   * Reply to a job that the sender did not admit, as it owns no endpoints; sent before not_owner.
+   * </pre>
+   *
+   * <code>string not_admitted = 6;</code>
+   * @return Whether the notAdmitted field is set.
+   */
+  public boolean hasNotAdmitted() {
+    return messageCase_ == 6;
+  }
+  /**
+   * <pre>
+   * Reply to a job that the sender did not admit, as it owns no endpoints; sent before not_owner.
+   * </pre>
+   *
+   * <code>string not_admitted = 6;</code>
+   * @return The notAdmitted.
+   */
+  public java.lang.String getNotAdmitted() {
+    java.lang.Object ref = "";
+    if (messageCase_ == 6) {
+      ref = message_;
+    }
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      if (messageCase_ == 6) {
+        message_ = s;
+      }
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Reply to a job that the sender did not admit, as it owns no endpoints; sent before not_owner.
+   * </pre>
+   *
+   * <code>string not_admitted = 6;</code>
+   * @return The bytes for notAdmitted.
+   */
+  public com.google.protobuf.ByteString
+      getNotAdmittedBytes() {
+    java.lang.Object ref = "";
+    if (messageCase_ == 6) {
+      ref = message_;
+    }
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      if (messageCase_ == 6) {
+        message_ = b;
+      }
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -265,6 +331,9 @@
       output.writeBool(
           5, (boolean)((java.lang.Boolean) message_));
     }
+    if (messageCase_ == 6) {
+      com.google.protobuf.GeneratedMessageV3.writeString(output, 6, message_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -296,6 +365,9 @@
         .computeBoolSize(
             5, (boolean)((java.lang.Boolean) message_));
     }
+    if (messageCase_ == 6) {
+      size += com.google.protobuf.GeneratedMessageV3.computeStringSize(6, message_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -333,6 +405,10 @@
         if (getWelcome()
             != other.getWelcome()) return false;
         break;
+      case 6:
+        if (!getNotAdmitted()
+            .equals(other.getNotAdmitted())) return false;
+        break;
       case 0:
       default:
     }
@@ -370,6 +446,10 @@
         hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
             getWelcome());
         break;
+      case 6:
+        hash = (37 * hash) + NOT_ADMITTED_FIELD_NUMBER;
+        hash = (53 * hash) + getNotAdmitted().hashCode();
+        break;
       case 0:
       default:
     }
@@ -637,6 +717,12 @@
           setWelcome(other.getWelcome());
           break;
         }
+        case NOT_ADMITTED: {
+          messageCase_ = 6;
+          message_ = other.message_;
+          onChanged();
+          break;
+        }
         case MESSAGE_NOT_SET: {
           break;
         }
@@ -698,6 +784,12 @@
               messageCase_ = 5;
               break;
             } // case 40
+            case 50: {
+              java.lang.String s = input.readStringRequireUtf8();
+              messageCase_ = 6;
+              message_ = s;
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1255,6 +1347,123 @@
       }
       return this;
     }
+
+    /**
+     * <pre>
+     * Reply to a job that the sender did not admit, as it owns no endpoints; sent before not_owner.
+     * </pre>
+     *
+     * <code>string not_admitted = 6;</code>
+     * @return Whether the notAdmitted field is set.
+     */
+    @java.lang.Override
+    public boolean hasNotAdmitted() {
+      return messageCase_ == 6;
+    }
+    /**
+     * <pre>
+     * Reply to a job that the sender did not admit, as it owns no endpoints; sent before not_owner.
+     * </pre>
+     *
+     * <code>string not_admitted = 6;</code>
+     * @return The notAdmitted.
+     */
+    @java.lang.Override
+    public java.lang.String getNotAdmitted() {
+      java.lang.Object ref = "";
+      if (messageCase_ == 6) {
+        ref = message_;
+      }
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        if (messageCase_ == 6) {
+          message_ = s;
+        }
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Reply to a job that the sender did not admit, as it owns no endpoints; sent before not_owner.
+     * </pre>
+     *
+     * <code>string not_admitted = 6;</code>
+     * @return The bytes for notAdmitted.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getNotAdmittedBytes() {
+      java.lang.Object ref = "";
+      if (messageCase_ == 6) {
+        ref = message_;
+      }
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        if (messageCase_ == 6) {
+          message_ = b;
+        }
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Reply to a job that the sender did not admit, as it owns no endpoints; sent before not_owner.
+     * </pre>
+     *
+     * <code>string not_admitted = 6;</code>
+     * @param value The notAdmitted to set.
+     * @return This builder for chaining.
+     */
+    public Builder setNotAdmitted(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      messageCase_ = 6;
+      message_ = value;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Reply to a job that the sender did not admit, as it owns no endpoints; sent before not_owner.
+     * </pre>
+     *
+     * <code>string not_admitted = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearNotAdmitted() {
+      if (messageCase_ == 6) {
+        messageCase_ = 0;
+        message_ = null;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Reply to a job that the sender did not admit, as it owns no endpoints; sent before not_owner.
+     * </pre>
+     *
+     * <code>string not_admitted = 6;</code>
+     * @param value The bytes for notAdmitted to set.
+     * @return This builder for chaining.
+     */
+    public Builder setNotAdmittedBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      messageCase_ = 6;
+      message_ = value;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/ToEntryProtoOrBuilder.java
+++ b/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/ToEntryProtoOrBuilder.java
@@ -83,5 +83,34 @@
    */
   boolean getWelcome();
 
+  /**
+   * <pre>
+   * Reply to a job that the sender did not admit, as it owns no endpoints; sent before not_owner.
+   * </pre>
+   *
+   * <code>string not_admitted = 6;</code>
+   * @return Whether the notAdmitted field is set.
+   */
+  boolean hasNotAdmitted();
+  /**
+   * <pre>
+   * Reply to a job that the sender did not admit, as it owns no endpoints; sent before not_owner.
+   * </pre>
+   *
+   * <code>string not_admitted = 6;</code>
+   * @return The notAdmitted.
+   */
+  java.lang.String getNotAdmitted();
+  /**
+   * <pre>
+   * Reply to a job that the sender did not admit, as it owns no endpoints; sent before not_owner.
+   * </pre>
+   *
+   * <code>string not_admitted = 6;</code>
+   * @return The bytes for notAdmitted.
+   */
+  com.google.protobuf.ByteString
+      getNotAdmittedBytes();
+
   org.gooseberrypier.protocol.ToEntryProto.MessageCase getMessageCase();
 }
--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolMessageCodec.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolMessageCodec.java
@@ -108,6 +108,8 @@
             out.setHeartbeat(beat);
         } else if (message instanceof PoolMessage.NotOwner n) {
             out.setNotOwner(n.token());
+        } else if (message instanceof PoolMessage.JobNotAdmitted n) {
+            out.setNotAdmitted(n.job());
         }
         return out.build();
     }
@@ -154,6 +156,7 @@
                                 .toList(),
                         message.getHeartbeat().getWaitingMap()));
             case NOT_OWNER -> Optional.of(new PoolMessage.NotOwner(message.getNotOwner()));
+            case NOT_ADMITTED -> Optional.of(new PoolMessage.JobNotAdmitted(message.getNotAdmitted()));
             default -> Optional.empty();
         };
     }
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/EntryController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/EntryController.java
@@ -40,13 +40,17 @@
         private final long arrivedAtMs;
         private final Set<Long> callers = new LinkedHashSet<>();
         private final Set<Integer> doneTasks = new TreeSet<>();
+        /** The number of VMs to which the job was forwarded and which may have admitted it. */
         private int earlierOwners;
-        private boolean forwarded;
 
         EntryJob(PoolJob spec, long arrivedAtMs) {
             this.spec = spec;
             this.arrivedAtMs = arrivedAtMs;
         }
+
+        boolean mayBeAdmitted() {
+            return earlierOwners > 0;
+        }
     }
 
     EntryController(PoolBoard board) {
@@ -97,7 +101,7 @@
     }
 
     private void withdraw(EntryJob job) {
-        if (ownerLinked && job.forwarded) {
+        if (ownerLinked && job.mayBeAdmitted()) {
             board.sendToOwner(new PoolMessage.WithdrawJob(job.spec.id()));
         }
     }
@@ -105,7 +109,6 @@
     private void forward(EntryJob job) {
         board.sendToOwner(new PoolMessage.ForwardJob(
                 job.spec, board.now - job.arrivedAtMs, job.earlierOwners, new ArrayList<>(job.doneTasks)));
-        job.forwarded = true;
         job.earlierOwners++;
     }
 
@@ -115,6 +118,11 @@
             if (job != null) {
                 job.doneTasks.add(d.task());
             }
+        } else if (message instanceof PoolMessage.JobNotAdmitted n) {
+            EntryJob job = jobs.get(n.job());
+            if (job != null) {
+                job.earlierOwners = Math.max(0, job.earlierOwners - 1);
+            }
         } else if (message instanceof PoolMessage.JobFinished f) {
             EntryJob job = jobs.get(f.job());
             if (job != null) {
@@ -156,7 +164,7 @@
             if (board.now - j.arrivedAtMs >= NO_OWNER_TIMEOUT_MS) {
                 answer(
                         j,
-                        j.forwarded
+                        j.mayBeAdmitted()
                                 ? new JobOutcome.Unknown("the owner is lost")
                                 : new JobOutcome.Refused("no owner", RETRY_AFTER_MS));
             }
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
@@ -131,7 +131,10 @@
     }
 
     private void onOwnerMessage(PoolEvent.OwnerMessageReceived e) {
-        if (e.peer().equals(board.linkedOwner)) {
+        if (e.message() instanceof PoolMessage.JobNotAdmitted) {
+            // Several of them may follow the first NotOwner, by which the link has ended.
+            entry.onMessage(e.message());
+        } else if (e.peer().equals(board.linkedOwner)) {
             ownership.onOwnerMessage(e.message());
             entry.onMessage(e.message());
         }
@@ -139,6 +142,9 @@
 
     private void onEntryMessage(VmIncarnation vm, PoolMessage.ToOwner message) {
         if (!board.isOwner()) {
+            if (message instanceof PoolMessage.ForwardJob p) {
+                board.sendToEntry(vm, new PoolMessage.JobNotAdmitted(p.job().id()));
+            }
             board.sendToEntry(vm, new PoolMessage.NotOwner(board.token));
         } else if (message instanceof PoolMessage.ForwardJob p) {
             jobs.onForwardJob(vm, p);
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/PoolMessage.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/PoolMessage.java
@@ -76,6 +76,14 @@
         }
     }
 
+    /**
+     * Reports that the sender did not admit a forwarded job, since it owns no endpoints: it starts no task because of that
+     * message.
+     *
+     * @param job the identifier of the job
+     */
+    record JobNotAdmitted(String job) implements ToEntry {}
+
     /**
      * Reports that the sender does not own the pool.
      *
