--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/engine/EventRing.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/engine/EventRing.java
@@ -55,7 +55,8 @@
     }
 
     /**
-     * Publishes an element and blocks while the ring is full; after {@link #close()} the element is dropped.
+     * Publishes an element and blocks while the ring is full; after {@link #close()} the element is dropped. Must not be
+     * called on the consumer thread, which would wait for itself if the ring is full.
      *
      * @param element the element
      */
