--- a/review/rig/src/rig/Caller.java
+++ b/review/rig/src/rig/Caller.java
@@ -13,7 +13,7 @@
 final class Caller {
 
     static final String HOST = "jobs.example";
-    static final String PREFIX = "/work/";
+    static final String PREFIX = "/jobs/";
 
     static {
         System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
