--- a/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/PoolHeartbeatProto.java
+++ b/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/PoolHeartbeatProto.java
@@ -181,6 +181,21 @@
     return map.get(key);
   }
 
+  public static final int SENT_AT_MS_FIELD_NUMBER = 4;
+  private long sentAtMs_ = 0L;
+  /**
+   * <pre>
+   * On the steady clock of the owner.
+   * </pre>
+   *
+   * <code>int64 sent_at_ms = 4;</code>
+   * @return The sentAtMs.
+   */
+  @java.lang.Override
+  public long getSentAtMs() {
+    return sentAtMs_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -207,6 +222,9 @@
         internalGetWaiting(),
         WaitingDefaultEntryHolder.defaultEntry,
         3);
+    if (sentAtMs_ != 0L) {
+      output.writeInt64(4, sentAtMs_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -234,6 +252,10 @@
       size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(3, waiting__);
     }
+    if (sentAtMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(4, sentAtMs_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -255,6 +277,8 @@
         .equals(other.getPeersList())) return false;
     if (!internalGetWaiting().equals(
         other.internalGetWaiting())) return false;
+    if (getSentAtMs()
+        != other.getSentAtMs()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -277,6 +301,9 @@
       hash = (37 * hash) + WAITING_FIELD_NUMBER;
       hash = (53 * hash) + internalGetWaiting().hashCode();
     }
+    hash = (37 * hash) + SENT_AT_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getSentAtMs());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -439,6 +466,7 @@
       }
       bitField0_ = (bitField0_ & ~0x00000002);
       internalGetMutableWaiting().clear();
+      sentAtMs_ = 0L;
       return this;
     }
 
@@ -492,6 +520,9 @@
         result.waiting_ = internalGetWaiting();
         result.waiting_.makeImmutable();
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.sentAtMs_ = sentAtMs_;
+      }
     }
 
     @java.lang.Override
@@ -570,6 +601,9 @@
       internalGetMutableWaiting().mergeFrom(
           other.internalGetWaiting());
       bitField0_ |= 0x00000004;
+      if (other.getSentAtMs() != 0L) {
+        setSentAtMs(other.getSentAtMs());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -623,6 +657,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 26
+            case 32: {
+              sentAtMs_ = input.readInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1036,6 +1075,50 @@
       bitField0_ |= 0x00000004;
       return this;
     }
+
+    private long sentAtMs_ ;
+    /**
+     * <pre>
+     * On the steady clock of the owner.
+     * </pre>
+     *
+     * <code>int64 sent_at_ms = 4;</code>
+     * @return The sentAtMs.
+     */
+    @java.lang.Override
+    public long getSentAtMs() {
+      return sentAtMs_;
+    }
+    /**
+     * <pre>
+     * On the steady clock of the owner.
+     * </pre>
+     *
+     * <code>int64 sent_at_ms = 4;</code>
+     * @param value The sentAtMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSentAtMs(long value) {
+
+      sentAtMs_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * On the steady clock of the owner.
+     * </pre>
+     *
+     * <code>int64 sent_at_ms = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSentAtMs() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      sentAtMs_ = 0L;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/PoolHeartbeatProtoOrBuilder.java
+++ b/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/PoolHeartbeatProtoOrBuilder.java
@@ -69,4 +69,14 @@
    */
   int getWaitingOrThrow(
       java.lang.String key);
+
+  /**
+   * <pre>
+   * On the steady clock of the owner.
+   * </pre>
+   *
+   * <code>int64 sent_at_ms = 4;</code>
+   * @return The sentAtMs.
+   */
+  long getSentAtMs();
 }
--- a/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/ToOwnerProto.java
+++ b/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/ToOwnerProto.java
@@ -53,6 +53,7 @@
     PRESENT(2),
     WITHDRAW(3),
     ALIVE(4),
+    HEARTBEAT_RECEIVED(5),
     MESSAGE_NOT_SET(0);
     private final int value;
     private MessageCase(int value) {
@@ -74,6 +75,7 @@
         case 2: return PRESENT;
         case 3: return WITHDRAW;
         case 4: return ALIVE;
+        case 5: return HEARTBEAT_RECEIVED;
         case 0: return MESSAGE_NOT_SET;
         default: return null;
       }
@@ -236,6 +238,50 @@
     return false;
   }
 
+  public static final int HEARTBEAT_RECEIVED_FIELD_NUMBER = 5;
+  /**
+   * <pre>
+   * Acknowledges the heartbeat with this sent_at_ms.
+   * </pre>
+   *
+   * <code>int64 heartbeat_received = 5;</code>
+   * @return Whether the heartbeatReceived field is set.
+   */
+  @java.lang.Override
+  public boolean hasHeartbeatReceived() {
+    return messageCase_ == 5;
+  }
+  /**
+   * <pre>
+   * Acknowledges the heartbeat with this sent_at_ms.
+   * </pre>
+   *
+   * <code>int64 heartbeat_received = 5;</code>
+   * @return The heartbeatReceived.
+   */
+  @java.lang.Override
+  public long getHeartbeatReceived() {
+    if (messageCase_ == 5) {
+      return (java.lang.Long) message_;
+    }
+    return 0L;
+  }
+
+  public static final int ACKNOWLEDGES_HEARTBEATS_FIELD_NUMBER = 6;
+  private boolean acknowledgesHeartbeats_ = false;
+  /**
+   * <pre>
+   * Set with hello: the VM acknowledges heartbeats.
+   * </pre>
+   *
+   * <code>bool acknowledges_heartbeats = 6;</code>
+   * @return The acknowledgesHeartbeats.
+   */
+  @java.lang.Override
+  public boolean getAcknowledgesHeartbeats() {
+    return acknowledgesHeartbeats_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -263,6 +309,13 @@
       output.writeBool(
           4, (boolean)((java.lang.Boolean) message_));
     }
+    if (messageCase_ == 5) {
+      output.writeInt64(
+          5, (long)((java.lang.Long) message_));
+    }
+    if (acknowledgesHeartbeats_ != false) {
+      output.writeBool(6, acknowledgesHeartbeats_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -288,6 +341,15 @@
         .computeBoolSize(
             4, (boolean)((java.lang.Boolean) message_));
     }
+    if (messageCase_ == 5) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(
+            5, (long)((java.lang.Long) message_));
+    }
+    if (acknowledgesHeartbeats_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(6, acknowledgesHeartbeats_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -303,6 +365,8 @@
     }
     org.gooseberrypier.protocol.ToOwnerProto other = (org.gooseberrypier.protocol.ToOwnerProto) obj;
 
+    if (getAcknowledgesHeartbeats()
+        != other.getAcknowledgesHeartbeats()) return false;
     if (!getMessageCase().equals(other.getMessageCase())) return false;
     switch (messageCase_) {
       case 1:
@@ -321,6 +385,10 @@
         if (getAlive()
             != other.getAlive()) return false;
         break;
+      case 5:
+        if (getHeartbeatReceived()
+            != other.getHeartbeatReceived()) return false;
+        break;
       case 0:
       default:
     }
@@ -335,6 +403,9 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
+    hash = (37 * hash) + ACKNOWLEDGES_HEARTBEATS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getAcknowledgesHeartbeats());
     switch (messageCase_) {
       case 1:
         hash = (37 * hash) + HELLO_FIELD_NUMBER;
@@ -353,6 +424,11 @@
         hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
             getAlive());
         break;
+      case 5:
+        hash = (37 * hash) + HEARTBEAT_RECEIVED_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+            getHeartbeatReceived());
+        break;
       case 0:
       default:
     }
@@ -497,6 +573,7 @@
       if (presentBuilder_ != null) {
         presentBuilder_.clear();
       }
+      acknowledgesHeartbeats_ = false;
       messageCase_ = 0;
       message_ = null;
       return this;
@@ -533,6 +610,9 @@
 
     private void buildPartial0(org.gooseberrypier.protocol.ToOwnerProto result) {
       int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.acknowledgesHeartbeats_ = acknowledgesHeartbeats_;
+      }
     }
 
     private void buildPartialOneofs(org.gooseberrypier.protocol.ToOwnerProto result) {
@@ -592,6 +672,9 @@
 
     public Builder mergeFrom(org.gooseberrypier.protocol.ToOwnerProto other) {
       if (other == org.gooseberrypier.protocol.ToOwnerProto.getDefaultInstance()) return this;
+      if (other.getAcknowledgesHeartbeats() != false) {
+        setAcknowledgesHeartbeats(other.getAcknowledgesHeartbeats());
+      }
       switch (other.getMessageCase()) {
         case HELLO: {
           mergeHello(other.getHello());
@@ -611,6 +694,10 @@
           setAlive(other.getAlive());
           break;
         }
+        case HEARTBEAT_RECEIVED: {
+          setHeartbeatReceived(other.getHeartbeatReceived());
+          break;
+        }
         case MESSAGE_NOT_SET: {
           break;
         }
@@ -666,6 +753,16 @@
               messageCase_ = 4;
               break;
             } // case 32
+            case 40: {
+              message_ = input.readInt64();
+              messageCase_ = 5;
+              break;
+            } // case 40
+            case 48: {
+              acknowledgesHeartbeats_ = input.readBool();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1152,6 +1249,108 @@
       }
       return this;
     }
+
+    /**
+     * <pre>
+     * Acknowledges the heartbeat with this sent_at_ms.
+     * </pre>
+     *
+     * <code>int64 heartbeat_received = 5;</code>
+     * @return Whether the heartbeatReceived field is set.
+     */
+    public boolean hasHeartbeatReceived() {
+      return messageCase_ == 5;
+    }
+    /**
+     * <pre>
+     * Acknowledges the heartbeat with this sent_at_ms.
+     * </pre>
+     *
+     * <code>int64 heartbeat_received = 5;</code>
+     * @return The heartbeatReceived.
+     */
+    public long getHeartbeatReceived() {
+      if (messageCase_ == 5) {
+        return (java.lang.Long) message_;
+      }
+      return 0L;
+    }
+    /**
+     * <pre>
+     * Acknowledges the heartbeat with this sent_at_ms.
+     * </pre>
+     *
+     * <code>int64 heartbeat_received = 5;</code>
+     * @param value The heartbeatReceived to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHeartbeatReceived(long value) {
+
+      messageCase_ = 5;
+      message_ = value;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Acknowledges the heartbeat with this sent_at_ms.
+     * </pre>
+     *
+     * <code>int64 heartbeat_received = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHeartbeatReceived() {
+      if (messageCase_ == 5) {
+        messageCase_ = 0;
+        message_ = null;
+        onChanged();
+      }
+      return this;
+    }
+
+    private boolean acknowledgesHeartbeats_ ;
+    /**
+     * <pre>
+     * Set with hello: the VM acknowledges heartbeats.
+     * </pre>
+     *
+     * <code>bool acknowledges_heartbeats = 6;</code>
+     * @return The acknowledgesHeartbeats.
+     */
+    @java.lang.Override
+    public boolean getAcknowledgesHeartbeats() {
+      return acknowledgesHeartbeats_;
+    }
+    /**
+     * <pre>
+     * Set with hello: the VM acknowledges heartbeats.
+     * </pre>
+     *
+     * <code>bool acknowledges_heartbeats = 6;</code>
+     * @param value The acknowledgesHeartbeats to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAcknowledgesHeartbeats(boolean value) {
+
+      acknowledgesHeartbeats_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set with hello: the VM acknowledges heartbeats.
+     * </pre>
+     *
+     * <code>bool acknowledges_heartbeats = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAcknowledgesHeartbeats() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      acknowledgesHeartbeats_ = false;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/ToOwnerProtoOrBuilder.java
+++ b/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/ToOwnerProtoOrBuilder.java
@@ -78,5 +78,34 @@
    */
   boolean getAlive();
 
+  /**
+   * <pre>
+   * Acknowledges the heartbeat with this sent_at_ms.
+   * </pre>
+   *
+   * <code>int64 heartbeat_received = 5;</code>
+   * @return Whether the heartbeatReceived field is set.
+   */
+  boolean hasHeartbeatReceived();
+  /**
+   * <pre>
+   * Acknowledges the heartbeat with this sent_at_ms.
+   * </pre>
+   *
+   * <code>int64 heartbeat_received = 5;</code>
+   * @return The heartbeatReceived.
+   */
+  long getHeartbeatReceived();
+
+  /**
+   * <pre>
+   * Set with hello: the VM acknowledges heartbeats.
+   * </pre>
+   *
+   * <code>bool acknowledges_heartbeats = 6;</code>
+   * @return The acknowledgesHeartbeats.
+   */
+  boolean getAcknowledgesHeartbeats();
+
   org.gooseberrypier.protocol.ToOwnerProto.MessageCase getMessageCase();
 }
--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/EffectPerformer.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/EffectPerformer.java
@@ -1,11 +1,15 @@
 package org.gooseberrypier.server.pool;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
 
 import io.netty.channel.EventLoopGroup;
+import io.netty.util.concurrent.EventExecutor;
 import org.gooseberrypier.pool.ClaimResult;
 import org.gooseberrypier.pool.LeaseRenewalResult;
 import org.gooseberrypier.pool.PoolEffect;
@@ -27,6 +31,9 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(EffectPerformer.class);
 
+    /** Delay after which an event loop has polled its connections at least once, in milliseconds. */
+    private static final long CALLER_CHECK_DELAY_MS = 20;
+
     private final VmIncarnation self;
     private final Clients clients;
     private final OpenCalls calls;
@@ -115,7 +122,21 @@
             clients.endpointList().setOwner(p.owner());
         } else if (effect instanceof PoolEffect.ReadOwnership) {
             readOwnership();
+        } else if (effect instanceof PoolEffect.CheckCallers c) {
+            checkCallers(c.requestedAtMs());
+        }
+    }
+
+    /** Waits until each event loop has received what had arrived at its connections. */
+    private void checkCallers(long requestedAtMs) {
+        List<CompletableFuture<Void>> checks = new ArrayList<>();
+        for (EventExecutor loop : clients.group()) {
+            CompletableFuture<Void> check = new CompletableFuture<>();
+            loop.schedule(() -> check.complete(null), CALLER_CHECK_DELAY_MS, TimeUnit.MILLISECONDS);
+            checks.add(check);
         }
+        CompletableFuture.allOf(checks.toArray(new CompletableFuture<?>[0]))
+                .thenRun(() -> events.accept(new PoolEvent.CallersChecked(requestedAtMs)));
     }
 
     private void sendToOwner(PoolEffect.SendToOwner effect) {
--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/EntryLinks.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/EntryLinks.java
@@ -82,11 +82,6 @@
         return silenceCheck.isBlocked();
     }
 
-    /** Publishes {@link PoolEvent.EntryLinkConfirmed} for each linked VM when its next message arrives. */
-    void requestConfirmation() {
-        links.values().forEach(l -> l.confirmationRequested = true);
-    }
-
     private void closeSilentLinks(long blockedMs) {
         if (blockedMs > 0) {
             events.accept(new PoolEvent.LoopBlocked(blockedMs));
@@ -121,7 +116,6 @@
         private final StreamSender<ToEntryProto> sender;
         private volatile VmIncarnation vm;
         private volatile long lastReceivedNanos = System.nanoTime();
-        private volatile boolean confirmationRequested;
 
         Link(ServerCallStreamObserver<ToEntryProto> out) {
             // The failure is published by an event loop: the core's thread, which sends, cannot wait for room in its
@@ -136,25 +130,21 @@
         @Override
         public void onNext(ToOwnerProto message) {
             lastReceivedNanos = System.nanoTime();
-            if (confirmationRequested && vm != null) {
-                confirmationRequested = false;
-                events.accept(new PoolEvent.EntryLinkConfirmed(vm));
-            }
             if (message.hasHello()) {
-                attach(PoolMessageCodec.decode(message.getHello()));
+                attach(PoolMessageCodec.decode(message.getHello()), message.getAcknowledgesHeartbeats());
             } else if (vm != null) {
                 PoolMessageCodec.decode(message)
                         .ifPresent(m -> events.accept(new PoolEvent.EntryMessageReceived(vm, m)));
             }
         }
 
-        private void attach(VmIncarnation from) {
+        private void attach(VmIncarnation from, boolean acknowledgesHeartbeats) {
             vm = from;
             Link previous = links.put(from, this);
             if (previous != null) {
                 previous.sender.end();
             }
-            events.accept(new PoolEvent.EntryLinkUp(from));
+            events.accept(new PoolEvent.EntryLinkUp(from, acknowledgesHeartbeats));
             sender.send(ToEntryProto.newBuilder().setWelcome(true).build());
         }
 
--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/OwnerLink.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/OwnerLink.java
@@ -60,6 +60,8 @@
     private final LoopCheck silenceCheck;
     private Attempt attempt;
     private boolean closed;
+    /** Whether a message was sent since the last check, so that no keep-alive message is needed. */
+    private boolean sentSinceCheck;
 
     OwnerLink(VmIncarnation self, String peer, EventLoop loop, Consumer<PoolEvent> events) {
         this.self = self;
@@ -74,7 +76,13 @@
     void send(PoolMessage.ToOwner message) {
         ToOwnerProto encoded = PoolMessageCodec.encode(message);
         loop.execute(() -> {
-            if (attempt != null) {
+            if (attempt == null) {
+                return;
+            }
+            sentSinceCheck = true;
+            if (message instanceof PoolMessage.HeartbeatReceived) {
+                attempt.sender.sendPeriodic(encoded);
+            } else {
                 attempt.sender.send(encoded);
             }
         });
@@ -112,9 +120,10 @@
         if (blockedMs == 0 && silentMs > (attempt.welcomed ? SILENCE_TIMEOUT_MS : WELCOME_TIMEOUT_MS)) {
             LOG.warn("event=owner_silent peer={} silent_ms={}", peer, silentMs);
             closeAndReconnect(attempt, false);
-        } else {
+        } else if (!sentSinceCheck) {
             attempt.sender.sendPeriodic(ToOwnerProto.newBuilder().setAlive(true).build());
         }
+        sentSinceCheck = false;
     }
 
     private void closeAndReconnect(Attempt failed, boolean refused) {
@@ -154,6 +163,7 @@
             PoolServiceGrpc.newStub(channel).attach(this);
             sender.send(ToOwnerProto.newBuilder()
                     .setHello(PoolMessageCodec.encode(self))
+                    .setAcknowledgesHeartbeats(true)
                     .build());
         }
 
--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolMessageCodec.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolMessageCodec.java
@@ -42,6 +42,9 @@
                     .addAllDoneTasks(p.doneTasks());
             return ToOwnerProto.newBuilder().setPresent(present).build();
         }
+        if (message instanceof PoolMessage.HeartbeatReceived h) {
+            return ToOwnerProto.newBuilder().setHeartbeatReceived(h.sentAtMs()).build();
+        }
         PoolMessage.WithdrawJob w = (PoolMessage.WithdrawJob) message;
         return ToOwnerProto.newBuilder().setWithdraw(w.job()).build();
     }
@@ -49,6 +52,7 @@
     static Optional<PoolMessage.ToOwner> decode(ToOwnerProto message) {
         return switch (message.getMessageCase()) {
             case PRESENT -> Optional.of(decode(message.getPresent()));
+            case HEARTBEAT_RECEIVED -> Optional.of(new PoolMessage.HeartbeatReceived(message.getHeartbeatReceived()));
             case WITHDRAW -> Optional.of(new PoolMessage.WithdrawJob(message.getWithdraw()));
             default -> Optional.empty();
         };
@@ -102,8 +106,10 @@
         } else if (message instanceof PoolMessage.JobFinished f) {
             out.setFinished(encode(f));
         } else if (message instanceof PoolMessage.Heartbeat h) {
-            PoolHeartbeatProto.Builder beat =
-                    PoolHeartbeatProto.newBuilder().setToken(h.token()).putAllWaiting(h.waitingJobs());
+            PoolHeartbeatProto.Builder beat = PoolHeartbeatProto.newBuilder()
+                    .setToken(h.token())
+                    .setSentAtMs(h.sentAtMs())
+                    .putAllWaiting(h.waitingJobs());
             h.successors().forEach(p -> beat.addPeers(encode(p)));
             out.setHeartbeat(beat);
         } else if (message instanceof PoolMessage.NotOwner n) {
@@ -151,6 +157,7 @@
             case HEARTBEAT ->
                 Optional.of(new PoolMessage.Heartbeat(
                         message.getHeartbeat().getToken(),
+                        message.getHeartbeat().getSentAtMs(),
                         message.getHeartbeat().getPeersList().stream()
                                 .map(PoolMessageCodec::decode)
                                 .toList(),
--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolVm.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolVm.java
@@ -266,7 +266,6 @@
         if (jumped) {
             LOG.warn("event=clocks_jumped");
             core.handle(new PoolEvent.PauseDetected(), nowMs());
-            entries.requestConfirmation();
         }
     }
 
--- a/org.gooseberrypier.server/src/test/java/org/gooseberrypier/server/pool/PoolMessageCodecTest.java
+++ b/org.gooseberrypier.server/src/test/java/org/gooseberrypier/server/pool/PoolMessageCodecTest.java
@@ -28,7 +28,7 @@
             {new PoolMessage.JobFinished("job", new JobOutcome.Failed("why"))},
             {new PoolMessage.JobFinished("job", new JobOutcome.Refused("why", 700))},
             {new PoolMessage.JobFinished("job", new JobOutcome.Unknown("why"))},
-            {new PoolMessage.Heartbeat(7, List.of(VM), Map.of("queue", 4))},
+            {new PoolMessage.Heartbeat(7, 17, List.of(VM), Map.of("queue", 4))},
             {new PoolMessage.JobNotAdmitted("job")},
             {new PoolMessage.NotOwner(9)},
         };
@@ -45,6 +45,8 @@
         assertEquals(PoolMessageCodec.decode(PoolMessageCodec.encode(forward)), Optional.of(forward));
         PoolMessage.ToOwner withdraw = new PoolMessage.WithdrawJob("job");
         assertEquals(PoolMessageCodec.decode(PoolMessageCodec.encode(withdraw)), Optional.of(withdraw));
+        PoolMessage.ToOwner received = new PoolMessage.HeartbeatReceived(17);
+        assertEquals(PoolMessageCodec.decode(PoolMessageCodec.encode(received)), Optional.of(received));
     }
 
     private static ToEntryProto merge(PoolMessage.Heartbeat earlier, PoolMessage.Heartbeat later) {
@@ -54,20 +56,21 @@
     @Test
     public void mergedHeartbeatKeepsTheSuccessorsThatTheLaterOneLeavesOut() {
         ToEntryProto merged = merge(
-                new PoolMessage.Heartbeat(7, List.of(VM), Map.of("queue", 4)),
-                new PoolMessage.Heartbeat(8, List.of(), Map.of("queue", 2)));
+                new PoolMessage.Heartbeat(7, 17, List.of(VM), Map.of("queue", 4)),
+                new PoolMessage.Heartbeat(8, 18, List.of(), Map.of("queue", 2)));
         assertEquals(
                 PoolMessageCodec.decode(merged),
-                Optional.of(new PoolMessage.Heartbeat(8, List.of(VM), Map.of("queue", 2))));
+                Optional.of(new PoolMessage.Heartbeat(8, 18, List.of(VM), Map.of("queue", 2))));
     }
 
     @Test
     public void mergedHeartbeatHasTheSuccessorsOfTheLaterOne() {
         VmIncarnation other = new VmIncarnation("10.0.0.2:7000", "zone-b", 6, 1_500);
         ToEntryProto merged = merge(
-                new PoolMessage.Heartbeat(7, List.of(VM), Map.of()),
-                new PoolMessage.Heartbeat(7, List.of(other), Map.of()));
+                new PoolMessage.Heartbeat(7, 17, List.of(VM), Map.of()),
+                new PoolMessage.Heartbeat(7, 17, List.of(other), Map.of()));
         assertEquals(
-                PoolMessageCodec.decode(merged), Optional.of(new PoolMessage.Heartbeat(7, List.of(other), Map.of())));
+                PoolMessageCodec.decode(merged),
+                Optional.of(new PoolMessage.Heartbeat(7, 17, List.of(other), Map.of())));
     }
 }
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/DuplicateRunGuard.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/DuplicateRunGuard.java
@@ -9,7 +9,7 @@
 final class DuplicateRunGuard {
 
     /** Time after which a run of an earlier owner at an unreachable endpoint has expired or was stopped, in milliseconds. */
-    private static final long EARLIER_RUNS_TIMEOUT_MS = 1_600;
+    static final long EARLIER_RUNS_TIMEOUT_MS = 1_600;
 
     private final PoolBoard board;
     private final LeaseController leases;
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
@@ -28,12 +28,20 @@
     /** Time within which an entry VM must restore a lost link before its jobs are stopped, in milliseconds. */
     private static final long ENTRY_RECONNECT_TIMEOUT_MS = 400;
 
+    /**
+     * Time within which an entry VM must acknowledge a heartbeat after a pause of the owner before its jobs are stopped, in
+     * milliseconds. The pause may have outlasted the silence timeout of the VM's link, and renewed leases keep runs of a VM
+     * that has left alive.
+     */
+    private static final long CONFIRMATION_TIMEOUT_MS = 150;
+
     /** Delay before a stop order that was not accepted is sent again, in milliseconds. */
     private static final long STOP_RETRY_DELAY_MS = 250;
 
     private final PoolBoard board;
     private final LeaseController leases;
     private final OwnershipController ownership;
+    private final LinkedVms linkedVms;
     private final DurationEstimator durations = new DurationEstimator();
     private final DuplicateRunGuard duplicateRunGuard;
     private final SlowRunDetector slowRunDetector;
@@ -41,9 +49,15 @@
     private final JobAdmission admission;
     private final OutcomeCache outcomes = new OutcomeCache();
 
-    JobController(PoolBoard board, OwnershipController ownership, SchedulingPolicy policy, double remotePenalty) {
+    JobController(
+            PoolBoard board,
+            OwnershipController ownership,
+            LinkedVms linkedVms,
+            SchedulingPolicy policy,
+            double remotePenalty) {
         this.board = board;
         this.ownership = ownership;
+        this.linkedVms = linkedVms;
         this.leases = new LeaseController(board, this);
         this.duplicateRunGuard = new DuplicateRunGuard(board, leases);
         this.slowRunDetector = new SlowRunDetector(board, durations);
@@ -165,19 +179,43 @@
     }
 
     void onEntryLinkDown(VmIncarnation vm) {
+        markDisconnected(vm, board.now);
+    }
+
+    /** Handles a link that may have been lost during a pause of this VM. */
+    void onEntryLinkUnconfirmed(VmIncarnation vm) {
+        markDisconnected(vm, board.now - (ENTRY_RECONNECT_TIMEOUT_MS - CONFIRMATION_TIMEOUT_MS));
+    }
+
+    private void markDisconnected(VmIncarnation vm, long sinceMs) {
         for (OwnedJob j : board.jobs.values()) {
-            j.subscribers.computeIfPresent(vm, (v, since) -> board.now);
+            j.subscribers.computeIfPresent(vm, (v, since) -> since == 0 ? sinceMs : Math.min(since, sinceMs));
         }
     }
 
     private void removeDisconnected() {
         for (OwnedJob j : new ArrayList<>(board.jobs.values())) {
             if (!j.ending) {
-                j.subscribers.values().removeIf(since -> since > 0 && board.now - since > ENTRY_RECONNECT_TIMEOUT_MS);
-                if (j.subscribers.isEmpty()) {
-                    endJob(j, "entry VM not linked");
-                }
+                removeDisconnected(j);
+            }
+        }
+    }
+
+    private void removeDisconnected(OwnedJob job) {
+        List<VmIncarnation> lost = new ArrayList<>();
+        job.subscribers.forEach((vm, since) -> {
+            if (since > 0 && board.now - since > ENTRY_RECONNECT_TIMEOUT_MS) {
+                lost.add(vm);
             }
+        });
+        for (VmIncarnation vm : lost) {
+            job.subscribers.remove(vm);
+            // A VM that was only late to answer has to let its callers submit the job again.
+            board.sendToEntry(
+                    vm, new PoolMessage.JobFinished(job.spec.id(), new JobOutcome.Unknown("link interrupted")));
+        }
+        if (job.subscribers.isEmpty()) {
+            endJob(job, "entry VM not linked");
         }
     }
 
@@ -445,8 +483,7 @@
         duplicateRunGuard.beginPass();
         List<OwnedJob> waiting = new ArrayList<>();
         for (OwnedJob j : board.jobs.values()) {
-            boolean attached = j.subscribers.containsValue(0L);
-            if (j.waitingTasks > 0 && !j.ending && attached && duplicateRunGuard.mayStart(j)) {
+            if (j.waitingTasks > 0 && !j.ending && isAwaited(j) && duplicateRunGuard.mayStart(j)) {
                 waiting.add(j);
             }
         }
@@ -456,6 +493,16 @@
         }
     }
 
+    /** Returns whether an entry VM certainly waits for the job at this owner. */
+    private boolean isAwaited(OwnedJob job) {
+        for (Map.Entry<VmIncarnation, Long> s : job.subscribers.entrySet()) {
+            if (s.getValue() == 0 && linkedVms.mayStartFor(s.getKey())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private void start(PlacementPlanner.Placement place) {
         OwnedTask t = place.task();
         LeasedEndpoint e = place.endpoint();
--- /dev/null
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LinkedVms.java
@@ -0,0 +1,130 @@
+package org.gooseberrypier.internal.pool;
+
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+
+import org.gooseberrypier.pool.PoolEffect;
+import org.gooseberrypier.pool.VmIncarnation;
+
+/**
+ * Tracks the entry VMs that have a link to this VM and decides for which of them an owner may start tasks.
+ *
+ * <p>An entry VM that has not heard from its owner for the silence timeout of the link forwards its jobs to the next owner.
+ * The next owner starts their tasks after {@link DuplicateRunGuard#EARLIER_RUNS_TIMEOUT_MS} also if it cannot reach the
+ * endpoints of the earlier one. Fault: the earlier owner was frozen meanwhile; it resumes with all jobs and links as they
+ * were, long before it can detect that the links are dead. Therefore the owner starts tasks only for a VM that has
+ * acknowledged a recent heartbeat: at the time when that heartbeat was sent, the VM had not left this owner yet.
+ */
+final class LinkedVms {
+
+    /**
+     * Validity of an acknowledgement, from the time when its heartbeat was sent, in milliseconds. A start that was sent at
+     * its end expires with its lease before the next owner may start the same task.
+     */
+    static final long ACKNOWLEDGEMENT_VALIDITY_MS = 400;
+
+    /** Time between two events of an owner after which it treats itself as having been paused, in milliseconds. */
+    private static final long PAUSE_THRESHOLD_MS = ACKNOWLEDGEMENT_VALIDITY_MS;
+
+    private final PoolBoard board;
+    private final Map<VmIncarnation, Link> links = new LinkedHashMap<>();
+    private final Set<VmIncarnation> unconfirmed = new HashSet<>();
+    private long pausedUntilMs = Long.MIN_VALUE;
+    private boolean ownCallersUnconfirmed;
+
+    /**
+     * Link of an entry VM.
+     *
+     * @param upSinceMs when the link came up, in milliseconds
+     * @param acknowledgesHeartbeats whether the VM acknowledges heartbeats; VMs of earlier versions do not
+     * @param acknowledgedMs when the latest acknowledged heartbeat was sent, in milliseconds, or {@link Long#MIN_VALUE}
+     */
+    private record Link(long upSinceMs, boolean acknowledgesHeartbeats, long acknowledgedMs) {}
+
+    LinkedVms(PoolBoard board) {
+        this.board = board;
+    }
+
+    /** Returns the linked VMs in the order in which their links came up. */
+    Set<VmIncarnation> all() {
+        return links.keySet();
+    }
+
+    /** Returns for how long the link of a VM has been up, in milliseconds. */
+    long linkedMs(VmIncarnation vm) {
+        return board.now - links.get(vm).upSinceMs();
+    }
+
+    void onUp(VmIncarnation vm, boolean acknowledgesHeartbeats) {
+        links.put(vm, new Link(board.now, acknowledgesHeartbeats, Long.MIN_VALUE));
+        unconfirmed.remove(vm);
+    }
+
+    void onDown(VmIncarnation vm) {
+        links.remove(vm);
+        unconfirmed.remove(vm);
+    }
+
+    /**
+     * Records that a VM has received a heartbeat of this owner.
+     *
+     * @param sentAtMs when the heartbeat was sent, in milliseconds
+     * @return whether this is the first acknowledgement since a pause of this VM
+     */
+    boolean onAcknowledged(VmIncarnation vm, long sentAtMs) {
+        Link link = links.get(vm);
+        if (link == null || sentAtMs < pausedUntilMs) {
+            return false;
+        }
+        links.put(vm, new Link(link.upSinceMs(), true, Math.max(link.acknowledgedMs(), sentAtMs)));
+        return unconfirmed.remove(vm);
+    }
+
+    /** Returns whether so much time has passed since the last event that this VM must have been paused. */
+    boolean isPauseBefore(long nowMs) {
+        return board.isOwner() && nowMs - board.now > PAUSE_THRESHOLD_MS;
+    }
+
+    /**
+     * Discards all acknowledgements after a pause of this VM, and requests that the disconnects of its own callers during
+     * the pause are reported.
+     *
+     * @return the VMs whose links may have been lost during the pause
+     */
+    Set<VmIncarnation> onPause() {
+        pausedUntilMs = board.now;
+        links.replaceAll((vm, l) -> new Link(l.upSinceMs(), l.acknowledgesHeartbeats(), Long.MIN_VALUE));
+        links.forEach((vm, l) -> {
+            if (l.acknowledgesHeartbeats()) {
+                unconfirmed.add(vm);
+            }
+        });
+        ownCallersUnconfirmed = true;
+        board.emit(new PoolEffect.CheckCallers(board.now));
+        return Set.copyOf(unconfirmed);
+    }
+
+    /**
+     * Records that all disconnects of own callers are known.
+     *
+     * @param requestedAtMs when the check was requested, in milliseconds
+     */
+    void onCallersChecked(long requestedAtMs) {
+        if (requestedAtMs >= pausedUntilMs) {
+            ownCallersUnconfirmed = false;
+            board.placementDue = true;
+        }
+    }
+
+    /** Returns whether tasks of jobs that the VM has forwarded may be started now. */
+    boolean mayStartFor(VmIncarnation vm) {
+        if (vm.equals(board.self())) {
+            return !ownCallersUnconfirmed;
+        }
+        Link link = links.get(vm);
+        return link != null
+                && (!link.acknowledgesHeartbeats() || board.now <= link.acknowledgedMs() + ACKNOWLEDGEMENT_VALIDITY_MS);
+    }
+}
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
@@ -1,9 +1,7 @@
 package org.gooseberrypier.internal.pool;
 
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.function.Consumer;
 
 import org.gooseberrypier.pool.PoolEffect;
@@ -28,8 +26,7 @@
     private final OwnershipController ownership;
     private final EntryController entry;
     private final JobController jobs;
-    /** The VMs that have a link to this VM, with the time at which the link came up, in milliseconds. */
-    private final Map<VmIncarnation, Long> entryLinks = new LinkedHashMap<>();
+    private final LinkedVms linkedVms;
 
     private boolean wasOwner;
     private long appliedToken;
@@ -56,7 +53,8 @@
         board.now = startMs;
         ownership = new OwnershipController(board);
         entry = new EntryController(board);
-        jobs = new JobController(board, ownership, policy, remotePenalty);
+        linkedVms = new LinkedVms(board);
+        jobs = new JobController(board, ownership, linkedVms, policy, remotePenalty);
     }
 
     /**
@@ -69,11 +67,22 @@
      * @param moreFollow whether another event follows without a wait
      */
     public void handle(PoolEvent event, long nowMs, boolean moreFollow) {
+        boolean paused = event instanceof PoolEvent.PauseDetected || linkedVms.isPauseBefore(nowMs);
+        long silentMs = nowMs - board.now;
         board.now = nowMs;
+        if (paused) {
+            onPause(silentMs);
+        }
         dispatch(event);
         processPending(!moreFollow || event instanceof PoolEvent.Tick);
     }
 
+    private void onPause(long silentMs) {
+        board.log("event=pause_detected owner=" + board.isOwner() + " since_last_event_ms=" + silentMs);
+        ownership.onPauseDetected();
+        linkedVms.onPause().forEach(jobs::onEntryLinkUnconfirmed);
+    }
+
     private void dispatch(PoolEvent event) {
         if (event instanceof PoolEvent.Tick) {
             tick();
@@ -93,9 +102,6 @@
             ownership.onOwnerLinkDown(e);
         } else if (event instanceof PoolEvent.OwnerMessageReceived e) {
             onOwnerMessage(e);
-        } else if (event instanceof PoolEvent.PauseDetected) {
-            ownership.onPauseDetected();
-            entryLinks.keySet().forEach(jobs::onEntryLinkDown);
         } else if (event instanceof PoolEvent.LoopBlocked e) {
             ownership.onLoopBlocked(e.blockedMs());
         } else if (event instanceof PoolEvent.StopRequested) {
@@ -107,12 +113,12 @@
 
     private void dispatchToOwner(PoolEvent event) {
         if (event instanceof PoolEvent.EntryLinkUp e) {
-            entryLinks.put(e.vm(), board.now);
+            linkedVms.onUp(e.vm(), e.acknowledgesHeartbeats());
             successorsChanged = true;
-        } else if (event instanceof PoolEvent.EntryLinkConfirmed e) {
-            jobs.onEntryLinkConfirmed(e.vm());
+        } else if (event instanceof PoolEvent.CallersChecked e) {
+            linkedVms.onCallersChecked(e.requestedAtMs());
         } else if (event instanceof PoolEvent.EntryLinkDown e) {
-            entryLinks.remove(e.vm());
+            linkedVms.onDown(e.vm());
             successorsChanged = true;
             jobs.onEntryLinkDown(e.vm());
         } else if (event instanceof PoolEvent.EntryMessageReceived e) {
@@ -137,6 +143,9 @@
         } else if (e.peer().equals(board.linkedOwner)) {
             ownership.onOwnerMessage(e.message());
             entry.onMessage(e.message());
+            if (e.message() instanceof PoolMessage.Heartbeat h) {
+                board.sendToOwner(new PoolMessage.HeartbeatReceived(h.sentAtMs()));
+            }
         }
     }
 
@@ -150,6 +159,8 @@
             jobs.onForwardJob(vm, p);
         } else if (message instanceof PoolMessage.WithdrawJob w) {
             jobs.onWithdrawJob(vm, w.job());
+        } else if (message instanceof PoolMessage.HeartbeatReceived h && linkedVms.onAcknowledged(vm, h.sentAtMs())) {
+            jobs.onEntryLinkConfirmed(vm);
         }
     }
 
@@ -171,8 +182,8 @@
         List<VmIncarnation> vms = successorsChanged || board.now >= successorsDueMs ? successors() : List.of();
         successorsDueMs = vms.isEmpty() ? successorsDueMs : board.now + SUCCESSORS_INTERVAL_MS;
         successorsChanged = false;
-        var heartbeat = new PoolMessage.Heartbeat(board.token, vms, jobs.waitingJobsByQueue());
-        for (VmIncarnation vm : entryLinks.keySet()) {
+        var heartbeat = new PoolMessage.Heartbeat(board.token, board.now, vms, jobs.waitingJobsByQueue());
+        for (VmIncarnation vm : linkedVms.all()) {
             board.sendToEntry(vm, heartbeat);
         }
         entry.onMessage(heartbeat);
@@ -181,12 +192,12 @@
     /** Returns the successors whose links have been up for the minimum stable time. */
     private List<VmIncarnation> stableSuccessors() {
         List<VmIncarnation> stable = successors();
-        stable.removeIf(vm -> board.now - entryLinks.get(vm) < OwnershipController.MIN_STABLE_MS);
+        stable.removeIf(vm -> linkedVms.linkedMs(vm) < OwnershipController.MIN_STABLE_MS);
         return stable;
     }
 
     private List<VmIncarnation> successors() {
-        List<VmIncarnation> vms = new ArrayList<>(entryLinks.keySet());
+        List<VmIncarnation> vms = new ArrayList<>(linkedVms.all());
         vms.sort(VmIncarnation.SUCCESSION_ORDER);
         return vms;
     }
@@ -224,7 +235,7 @@
             jobs.leases().onOwnershipBegan();
         } else if (!board.isOwner() && wasOwner) {
             wasOwner = false;
-            for (VmIncarnation vm : entryLinks.keySet()) {
+            for (VmIncarnation vm : linkedVms.all()) {
                 board.sendToEntry(vm, new PoolMessage.NotOwner(board.token));
             }
             jobs.leases().onOwnershipEnded();
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/PoolEffect.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/PoolEffect.java
@@ -92,6 +92,13 @@
      */
     record Stop(PoolEndpoint endpoint, long token, RunId run) implements PoolEffect {}
 
+    /**
+     * Requests a {@link PoolEvent.CallersChecked} after the events of all callers that have disconnected until now.
+     *
+     * @param requestedAtMs the current time on this VM's steady clock, in milliseconds
+     */
+    record CheckCallers(long requestedAtMs) implements PoolEffect {}
+
     /**
      * Writes one line to the log.
      *
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/PoolEvent.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/PoolEvent.java
@@ -72,18 +72,19 @@
     record OwnerMessageReceived(String peer, PoolMessage.ToEntry message) implements PoolEvent {}
 
     /**
-     * An entry VM opened a link to this VM.
+     * A {@link PoolEffect.CheckCallers} has ended: all callers that had disconnected before it have been reported.
      *
-     * @param vm the VM
+     * @param requestedAtMs when the check was requested, on this VM's steady clock, in milliseconds
      */
-    record EntryLinkUp(VmIncarnation vm) implements PoolEvent {}
+    record CallersChecked(long requestedAtMs) implements PoolEvent {}
 
     /**
-     * An entry VM sent data over a link that already existed before a possible pause of this VM.
+     * An entry VM opened a link to this VM.
      *
      * @param vm the VM
+     * @param acknowledgesHeartbeats whether the VM acknowledges heartbeats; VMs of earlier versions do not
      */
-    record EntryLinkConfirmed(VmIncarnation vm) implements PoolEvent {}
+    record EntryLinkUp(VmIncarnation vm, boolean acknowledgesHeartbeats) implements PoolEvent {}
 
     /**
      * The link of an entry VM to this VM was lost.
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/PoolMessage.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/PoolMessage.java
@@ -44,6 +44,13 @@
      */
     record WithdrawJob(String job) implements ToOwner {}
 
+    /**
+     * Acknowledges a heartbeat: the sender regards the receiver as the owner.
+     *
+     * @param sentAtMs when the heartbeat was sent, on the clock of its sender, in milliseconds
+     */
+    record HeartbeatReceived(long sentAtMs) implements ToOwner {}
+
     /**
      * Reports that a task is done, so that it is not run again if the owner fails.
      *
@@ -64,10 +71,12 @@
      * Shows that the owner is alive.
      *
      * @param token the fencing token of the owner
+     * @param sentAtMs when it was sent, on the owner's steady clock, in milliseconds
      * @param successors all VMs that have a link to the owner, in the order of succession; empty if unchanged
      * @param waitingJobs the number of jobs without a started task, by queue
      */
-    record Heartbeat(long token, List<VmIncarnation> successors, Map<String, Integer> waitingJobs) implements ToEntry {
+    record Heartbeat(long token, long sentAtMs, List<VmIncarnation> successors, Map<String, Integer> waitingJobs)
+            implements ToEntry {
 
         /** Makes immutable copies of the collections. */
         public Heartbeat {
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/JobNotAdmittedTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/JobNotAdmittedTest.java
@@ -111,7 +111,7 @@
     @Test
     public void aVmThatOwnsNothingAnswersEachForwardedJobBeforeItSaysThatItIsNotTheOwner() {
         PoolCore restarted = new PoolCore(RESTARTED, 3, nowMs, effects::add);
-        restarted.handle(new PoolEvent.EntryLinkUp(ENTRY), nowMs);
+        restarted.handle(new PoolEvent.EntryLinkUp(ENTRY, true), nowMs);
         effects.clear();
         PoolMessage.ForwardJob forward = new PoolMessage.ForwardJob(PoolJobs.job("job-1", 1, 100), 0, 0, List.of());
         restarted.handle(new PoolEvent.EntryMessageReceived(ENTRY, forward), nowMs);
@@ -129,7 +129,7 @@
     @Test
     public void heartbeatsDoNotChangeWhatIsKnownOfAForwardedJob() {
         submit(1, "job-1");
-        receive(new PoolMessage.Heartbeat(1, List.of(), Map.of()));
+        receive(new PoolMessage.Heartbeat(1, 0, List.of(), Map.of()));
         receive(new PoolMessage.NotOwner(0));
         link();
         assertEquals(earlierOwnersOf("job-1"), List.of(0, 1));
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolCoreTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolCoreTest.java
@@ -313,4 +313,52 @@
         assertEquals(s.violations, List.of());
         assertCompleted(caller);
     }
+
+    /**
+     * Guards against a second run of a task: an owner that is frozen while the VMs that forwarded its jobs go to the next
+     * owner must not start the tasks again when it resumes and finds that their leases have expired.
+     */
+    @Test
+    public void ownerThatWasFrozenStartsNoTasksOfVmsThatHaveGoneToTheNextOwner() {
+        for (long frozenMs = 1_000; frozenMs <= 3_400; frozenMs += 100) {
+            PoolSimulation s = new PoolSimulation(frozenMs, 6, 9);
+            s.startAll();
+            s.runUntil(18_000);
+            SimulatedVm first = owner(s);
+            SimulatedVm entry = other(s, first);
+            for (int i = 0; i < 4; i++) {
+                s.submitAt(entry, PoolJobs.patientJob("job-00" + i, 3, 1_400));
+            }
+            s.runUntil(s.nowMs() + 300);
+            first.freeze();
+            // Only the frozen VM reaches these endpoints, so the token of the next owner does not fence it there.
+            for (SimulatedVm v : s.vms) {
+                if (v != first) {
+                    s.endpoints.subList(0, 5).forEach(e -> s.cuts.add(v.contact.address() + "|" + e.id));
+                }
+            }
+            s.after(frozenMs, first::thaw);
+            s.runUntil(s.nowMs() + 6_000);
+            assertEquals(s.violations, List.of(), "frozen for " + frozenMs + " ms");
+            s.callers.values().forEach(PoolCoreTest::assertCompleted);
+        }
+    }
+
+    /** Guards against a lost job: a VM whose acknowledgement comes late after a pause of the owner has to be told. */
+    @Test
+    public void callersAreAnsweredWhenTheirVmIsLateAfterAPauseOfTheOwner() {
+        PoolSimulation s = opened(9);
+        SimulatedVm first = owner(s);
+        SimulatedVm entry = other(s, first);
+        PoolSimulation.Caller caller = s.submitAt(entry, PoolJobs.patientJob("job-1", 3, 900));
+        s.runUntil(s.nowMs() + 100);
+        first.suspend();
+        s.runUntil(s.nowMs() + 20);
+        first.thaw();
+        entry.freeze();
+        s.runUntil(s.nowMs() + 200);
+        entry.thaw();
+        s.runUntil(s.nowMs() + 5_000);
+        assertTrue(caller.isAnswered(), caller.answers.toString());
+    }
 }
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolRandomTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolRandomTest.java
@@ -3,12 +3,13 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 
 import org.testng.annotations.Test;
 
-import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 /**
  * Runs several VMs with seeded random faults. Guards against concurrent runs of a task and unanswered callers, and checks that
@@ -31,17 +32,22 @@
 
     @Test
     public void noTaskRunsTwiceConcurrentlyAndEveryCallerIsAnswered() {
+        List<String> failures = new ArrayList<>();
+        String firstHistory = "";
         for (int seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
             PoolSimulation s = run(seed, e -> {});
             List<String> broken = new ArrayList<>(s.violations);
             for (PoolSimulation.Caller c : s.callers.values()) {
                 if (!c.isAnswered()) {
-                    broken.add("not answered: " + c.job.id() + " " + c.answers);
+                    broken.add("not answered: " + c.job.id() + " at vm-" + c.vm + " " + c.answers);
                 }
             }
-            assertEquals(
-                    broken, List.of(), "seed " + seed + "\n" + (broken.isEmpty() ? "" : history(s, broken.get(0))));
+            if (!broken.isEmpty()) {
+                firstHistory = failures.isEmpty() ? history(s, broken.get(0)) : firstHistory;
+                failures.add("seed " + seed + ": " + broken);
+            }
         }
+        assertTrue(failures.isEmpty(), String.join("\n", failures) + "\n" + firstHistory);
     }
 
     /** Returns the log lines of the VMs about the ownership and about the job that a violation names. */
@@ -157,10 +163,12 @@
 
         private void inject() {
             long durationMs = 300 + r.nextInt(5_000);
-            switch (r.nextInt(12)) {
+            switch (r.nextInt(14)) {
                 case 0 -> killOwner(durationMs);
                 case 1 -> kill(s.vms.get(r.nextInt(s.vms.size())), durationMs);
                 case 11 -> killMost(durationMs);
+                case 12 -> freezeOwnerAndCutEndpoints(600 + durationMs / 2);
+                case 13 -> freezeOwnerAndCutItsZone(600 + durationMs / 2);
                 case 2 -> freeze(s.vms.get(r.nextInt(s.vms.size())), durationMs);
                 case 3 ->
                     s.vms.stream()
@@ -221,11 +229,45 @@
         private void freeze(SimulatedVm vm, long durationMs) {
             if (vm.alive && !vm.frozen) {
                 s.logEvent("owner or VM frozen: vm-" + vm.index + " for " + durationMs);
-                vm.freeze();
+                if (r.nextBoolean()) {
+                    vm.freeze();
+                } else {
+                    vm.suspend();
+                }
                 s.after(durationMs, vm::thaw);
             }
         }
 
+        /** Freezes the owner while the other VMs, one of which becomes the owner, cannot reach some endpoints. */
+        private void freezeOwnerAndCutEndpoints(long durationMs) {
+            Optional<SimulatedVm> owner =
+                    s.vms.stream().filter(v -> v.alive && v.isOwner()).findFirst();
+            if (owner.isEmpty()) {
+                return;
+            }
+            List<String> others = new ArrayList<>();
+            s.vms.stream().filter(v -> v != owner.get()).forEach(v -> others.add("vm-" + v.index));
+            List<String> some = new ArrayList<>();
+            s.endpoints.stream().filter(e -> r.nextInt(3) == 0).forEach(e -> some.add(e.id));
+            freeze(owner.get(), durationMs);
+            cut(some, others, durationMs + 1_500);
+        }
+
+        /** Freezes the owner, the only VM of its zone that runs, while the zone is isolated. */
+        private void freezeOwnerAndCutItsZone(long durationMs) {
+            Optional<SimulatedVm> owner =
+                    s.vms.stream().filter(v -> v.alive && v.isOwner()).findFirst();
+            if (owner.isEmpty()) {
+                return;
+            }
+            String zone = owner.get().contact.zone();
+            s.vms.stream()
+                    .filter(v -> v != owner.get() && v.contact.zone().equals(zone))
+                    .forEach(v -> kill(v, durationMs + 1_500));
+            freeze(owner.get(), durationMs);
+            cutZone(zone, true, durationMs + 1_500);
+        }
+
         private void crash(SimulatedEndpoint e, long durationMs) {
             if (e.alive) {
                 e.crash();
@@ -238,8 +280,10 @@
         }
 
         private void cutZone(long durationMs) {
-            String zone = "zone-" + r.nextInt(3);
-            boolean store = r.nextBoolean();
+            cutZone("zone-" + r.nextInt(3), r.nextBoolean(), durationMs);
+        }
+
+        private void cutZone(String zone, boolean store, long durationMs) {
             List<String> inside = new ArrayList<>();
             List<String> outside = new ArrayList<>(List.of("store"));
             s.vms.forEach(v -> (("zone-" + v.index % 3).equals(zone) ? inside : outside).add("vm-" + v.index));
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolSimulation.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolSimulation.java
@@ -16,6 +16,7 @@
 
     private static final long LINK_TIMEOUT_MS = 400;
     private static final long CALL_TIMEOUT_MS = 300;
+    private static final long SILENCE_CHECK_DELAY_MS = 200;
     private static final long RESUBMIT_DELAY_MS = 1_300;
     private static final long ENDPOINT_INTERVAL_MS = 5;
     private static final long REGISTRATION_HEARTBEAT_MS = 1_500;
@@ -237,6 +238,8 @@
             readEndpoints(vm);
         } else if (effect instanceof PoolEffect.ReadOwnership) {
             readOwnership(vm);
+        } else if (effect instanceof PoolEffect.CheckCallers c) {
+            deliver(vm, 20, new PoolEvent.CallersChecked(c.requestedAtMs()));
         } else if (effect instanceof PoolEffect.LinkOwner l) {
             link(vm, l.peer());
         } else if (effect instanceof PoolEffect.SendToOwner s) {
@@ -321,7 +324,7 @@
         if (peer.alive && !cut && !peer.frozen && !vm.frozen) {
             vm.linked = true;
             deliver(vm, 1, new PoolEvent.OwnerLinkDown(target, false));
-            deliver(peer, 1, new PoolEvent.EntryLinkUp(vm.contact));
+            deliver(peer, 1, new PoolEvent.EntryLinkUp(vm.contact, true));
             deliver(vm, 2, new PoolEvent.OwnerLinkUp(target));
             watch(vm, startNumber, target, peer.startNumber());
         } else {
@@ -357,11 +360,9 @@
                 vm.linked = false;
                 linkDown(vm, startNumber, target, LINK_TIMEOUT_MS, false);
                 // The two ends may detect the silence at different times, since one direction may fail later.
-                after(LINK_TIMEOUT_MS + random.nextInt((int) LINK_TIMEOUT_MS), () -> {
-                    if (!vm.linked || !vm.linkTarget.equals(target)) {
-                        peer.deliver(peerStartNumber, new PoolEvent.EntryLinkDown(vm.contact));
-                    }
-                });
+                after(
+                        LINK_TIMEOUT_MS + random.nextInt((int) LINK_TIMEOUT_MS),
+                        () -> detectSilence(peer, peerStartNumber, vm, target));
                 reconnectLater(vm, startNumber, target);
             } else {
                 watch(vm, startNumber, target, peerStartNumber);
@@ -369,12 +370,12 @@
         });
     }
 
-    /** Confirms the links of all VMs that are actually linked to the given VM. */
-    void confirmLinks(SimulatedVm vm) {
-        for (SimulatedVm v : vms) {
-            if (v.alive && v.linked && v.linkTarget.equals(vm.contact.address())) {
-                deliver(vm, 100, new PoolEvent.EntryLinkConfirmed(v.contact));
-            }
+    /** Reports the loss of a link to the VM that accepted it; a frozen VM detects it only some time after it has resumed. */
+    private void detectSilence(SimulatedVm peer, long peerStartNumber, SimulatedVm vm, String target) {
+        if (peer.frozen && peer.isCurrentStart(peerStartNumber)) {
+            after(SILENCE_CHECK_DELAY_MS, () -> detectSilence(peer, peerStartNumber, vm, target));
+        } else if (!vm.linked || !vm.linkTarget.equals(target)) {
+            peer.deliver(peerStartNumber, new PoolEvent.EntryLinkDown(vm.contact));
         }
     }
 
@@ -427,15 +428,19 @@
         boolean late = random.nextDouble() < lateStartProbability;
         // Half of the late orders arrive before the deadline of the start; only fencing rejects these.
         long delay = late ? 200 + random.nextInt(random.nextBoolean() ? 700 : 6_000) : 1;
-        if (late || lost || reach(vm, s.endpoint().id()).isEmpty()) {
-            after(CALL_TIMEOUT_MS, () -> vm.deliver(startNumber, new PoolEvent.StartEnded(s, StartResult.UNANSWERED)));
-        }
-        after(delay, () -> reach(vm, s.endpoint().id()).ifPresent(e -> {
-            StartResult result = e.start(s);
+        after(delay, () -> {
+            Optional<StartResult> result = reach(vm, s.endpoint().id()).map(e -> e.start(s));
             if (!lost && !late) {
-                after(1, () -> vm.deliver(startNumber, new PoolEvent.StartEnded(s, result)));
+                // A start that does not reach its endpoint is reported when its call times out.
+                after(
+                        result.isPresent() ? 1 : CALL_TIMEOUT_MS,
+                        () -> vm.deliver(
+                                startNumber, new PoolEvent.StartEnded(s, result.orElse(StartResult.UNANSWERED))));
             }
-        }));
+        });
+        if (late || lost) {
+            after(CALL_TIMEOUT_MS, () -> vm.deliver(startNumber, new PoolEvent.StartEnded(s, StartResult.UNANSWERED)));
+        }
     }
 
     private void stop(SimulatedVm vm, PoolEffect.Stop s) {
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedVm.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedVm.java
@@ -3,7 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 
-/** Simulated VM in virtual time; its steady clock stops while it is frozen. */
+/** Simulated VM in virtual time; its steady clock stops or continues while it is frozen. */
 final class SimulatedVm {
 
     private static final long TICK_INTERVAL_MS = 20;
@@ -22,6 +22,7 @@
     private PoolCore core;
     private long clockLagMs;
     private long frozenAtMs;
+    private boolean clockStopped;
     private long startNumber;
 
     SimulatedVm(PoolSimulation simulation, int index) {
@@ -55,26 +56,35 @@
         return startNumber;
     }
 
+    /** Suspends the VM, so that its steady clock stops as well. */
+    void suspend() {
+        freeze();
+        clockStopped = true;
+    }
+
+    /** Stops the VM's process; the steady clock continues. */
     void freeze() {
         frozen = true;
         frozenAtMs = simulation.nowMs();
+        clockStopped = false;
     }
 
     void thaw() {
         if (!frozen) {
             return;
         }
-        clockLagMs += simulation.nowMs() - frozenAtMs;
         frozen = false;
-        handle(new PoolEvent.PauseDetected());
-        simulation.confirmLinks(this);
+        if (clockStopped) {
+            clockLagMs += simulation.nowMs() - frozenAtMs;
+            handle(new PoolEvent.PauseDetected());
+        }
         while (!delayed.isEmpty() && alive) {
             handle(delayed.poll());
         }
     }
 
     long clockMs() {
-        return simulation.nowMs() - clockLagMs;
+        return (frozen && clockStopped ? frozenAtMs : simulation.nowMs()) - clockLagMs;
     }
 
     private void tick(long ofStart) {
