Extend the leases of an endpoint only for jobs that were forwarded

Fix: a renewal extends leases only where the owner has a job with a run; the first job that is forwarded extends them at once. The resubmission comes 1.3 s after the loss, the last lease of the owner that had the job ends after 0.9 s.

Test: LeaseControllerTest.leasesOfOrphanRunsAreExtendedOnlyOnceTheirJobIsForwarded failed before.

--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseController.java
@@ -228,7 +228,10 @@
     }
 
     private void renew(LeasedEndpoint e, long waitMs) {
-        long deadlineMs = e.isClockKnown() ? e.extendLease(board.now, LEASE_MS) : PoolEffect.RenewLeases.NO_DEADLINE;
+        // Orphan runs must expire with the lease of the owner that had their jobs: their callers may submit them
+        // elsewhere.
+        boolean extend = e.isClockKnown() && !e.runs.isEmpty();
+        long deadlineMs = extend ? e.extendLease(board.now, LEASE_MS) : PoolEffect.RenewLeases.NO_DEADLINE;
         board.emit(new PoolEffect.RenewLeases(
                 e.registration, board.token, board.now, e.acknowledgedSequence, deadlineMs, waitMs));
     }
@@ -445,9 +448,14 @@
                     mine.add(r);
                 }
             }
+            boolean extendedAlready = !e.runs.isEmpty();
             for (RunId r : mine) {
                 adopt(job, e, r);
             }
+            if (!extendedAlready && !e.runs.isEmpty() && !e.probing) {
+                e.probing = true;
+                renew(e, 0);
+            }
         }
     }
 
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/internal/pool/LeaseControllerTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/internal/pool/LeaseControllerTest.java
@@ -8,8 +8,10 @@
 import org.gooseberrypier.pool.PoolEffect;
 import org.gooseberrypier.pool.PoolEndpoint;
 import org.gooseberrypier.pool.PoolEvent;
+import org.gooseberrypier.pool.PoolJob;
 import org.gooseberrypier.pool.RunEnd;
 import org.gooseberrypier.pool.RunId;
+import org.gooseberrypier.pool.RunProgress;
 import org.gooseberrypier.pool.VmIncarnation;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -67,6 +69,32 @@
         assertEquals(leases.takeOrphanDoneTasks("job-2"), Set.of());
     }
 
+    private PoolEffect.RenewLeases lastRenewal() {
+        return (PoolEffect.RenewLeases) effects.stream()
+                .filter(PoolEffect.RenewLeases.class::isInstance)
+                .reduce((a, b) -> b)
+                .orElseThrow();
+    }
+
+    /** Guards against a second run: callers submit the job of a lost VM again when its runs must have expired. */
+    @Test
+    public void leasesOfOrphanRunsAreExtendedOnlyOnceTheirJobIsForwarded() {
+        RunProgress orphan = new RunProgress(new RunId("job-1", 0, 1), 10);
+        for (int i = 0; i < 3; i++) {
+            leases.onLeaseRenewalEnded(new PoolEvent.LeaseRenewalEnded(
+                    lastRenewal(), new LeaseRenewalResult.Held(500 + i, 1, List.of(orphan), List.of())));
+            assertEquals(lastRenewal().deadlineMs(), PoolEffect.RenewLeases.NO_DEADLINE);
+        }
+        OwnedJob job = new OwnedJob(
+                new PoolJob("job-1", "q", "s", "", 1, 1_000, 64, 100, 0, 3, 1.6, 60, "", ""),
+                board.now,
+                true,
+                board.now);
+        leases.adopt(job);
+        assertEquals(lastRenewal().deadlineMs(), 502 + LeaseController.LEASE_MS);
+        assertEquals(lastRenewal().waitMs(), 0);
+    }
+
     private static final class IgnoringListener implements LeaseController.RunListener {
 
         @Override
