Judge each run by itself when an endpoint restarts under its id

Cause: an answer to a renewal that shows another incarnation ended all runs of the endpoint in the owner's books, also those that the new incarnation had accepted, since a start names only the id and its answer may overtake the list.

Fix: a restart discards clock, sequence of ends and orphan runs, but no run; a run has ended only when its last order was answered before a list without it was requested. On the same path: stops accepted by the earlier incarnation are sent again, its late lists are ignored, the renewal after a failed one acknowledges no ends, and adopted runs count as leased until the first renewal is sent (LeaseController.adopt; since they could be taken for expired while a renewal was under way). PoolEffect.Start loses the incarnation, which no endpoint could check.

--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
@@ -511,8 +511,7 @@
         t.job.set(t, OwnedTask.State.STARTING);
         e.add(t);
         long deadline = e.extendLease(board.now, LeaseController.LEASE_MS);
-        board.emit(new PoolEffect.Start(
-                e.registration, board.token, e.incarnation, t.run(), t.job.spec.payload(), deadline));
+        board.emit(new PoolEffect.Start(e.registration, board.token, t.run(), t.job.spec.payload(), deadline));
     }
 
     /** Returns the number of jobs without a started task, by queue. */
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseController.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.gooseberrypier.pool.LeaseRenewalResult;
 import org.gooseberrypier.pool.PoolEffect;
@@ -25,6 +26,9 @@
     /** Duration of a lease, in milliseconds; it is below the platform's limit by the transmission time of an order. */
     static final long LEASE_MS = 900;
 
+    /** Longest lease that an endpoint grants, in milliseconds; it shortens longer ones, as those of another clock may be. */
+    private static final long MAX_LEASE_MS = 1_000;
+
     /** Maximum wait of an endpoint for an end before it answers, in milliseconds; three renewals fit into a lease. */
     private static final long RENEWAL_WAIT_MS = 300;
 
@@ -130,6 +134,8 @@
             }
             if (!known.registration.address().equals(e.address())) {
                 resetIncarnation(known, "moved");
+                known.forgetClock();
+                loseRuns(known, "moved", t -> true);
             }
             if (known.registration.draining() != e.draining()) {
                 board.log("event=endpoint_draining endpoint=" + e.id() + " draining=" + e.draining());
@@ -232,17 +238,17 @@
         // elsewhere.
         boolean extend = e.isClockKnown() && !e.runs.isEmpty();
         long deadlineMs = extend ? e.extendLease(board.now, LEASE_MS) : PoolEffect.RenewLeases.NO_DEADLINE;
-        board.emit(new PoolEffect.RenewLeases(
-                e.registration, board.token, board.now, e.acknowledgedSequence, deadlineMs, waitMs));
+        // After a failed call the endpoint may have restarted: the number would make it forget the ends of new runs.
+        long acknowledged = e.unansweredCalls > 0 ? 0 : e.acknowledgedSequence;
+        board.emit(
+                new PoolEffect.RenewLeases(e.registration, board.token, board.now, acknowledged, deadlineMs, waitMs));
     }
 
     private void expireLeases(LeasedEndpoint e) {
         board.warn("event=leases_lapsed endpoint=" + e.registration.id() + " runs=" + e.runs.size() + " silent_ms="
                 + (board.now - e.lastAnswerAtMs));
         e.synced = false;
-        for (OwnedTask t : new ArrayList<>(e.runs.values())) {
-            listener.onRunLost(t, "lease expired");
-        }
+        loseRuns(e, "lease expired", t -> true);
     }
 
     void onLeaseRenewalEnded(PoolEvent.LeaseRenewalEnded event) {
@@ -263,7 +269,7 @@
             e.nextRenewalAtMs = board.now;
             onRenewed(e, request, h);
         } else if (event.result() instanceof LeaseRenewalResult.Rejected r) {
-            onRejected(e, r.cause());
+            onRejected(e, request, r.cause());
         } else if (event.result() instanceof LeaseRenewalResult.Unanswered u) {
             e.unansweredCalls++;
             e.nextRenewalAtMs = board.now + RENEWAL_RETRY_DELAY_MS;
@@ -278,7 +284,7 @@
         }
     }
 
-    private void onRejected(LeasedEndpoint e, LeaseRenewalResult.Rejection cause) {
+    private void onRejected(LeasedEndpoint e, PoolEffect.RenewLeases request, LeaseRenewalResult.Rejection cause) {
         switch (cause) {
             case FENCED -> {
                 e.fenced = true;
@@ -287,6 +293,10 @@
             }
             case OTHER_INCARNATION -> {
                 resetIncarnation(e, "restarted");
+                loseRuns(e, "restarted", t -> isOrderedBefore(t, request.sentAtMs()));
+                if (e.runs.isEmpty()) {
+                    e.forgetClock();
+                }
                 e.nextRenewalAtMs = board.now;
             }
             default -> {
@@ -296,12 +306,24 @@
     }
 
     private void onRenewed(LeasedEndpoint e, PoolEffect.RenewLeases request, LeaseRenewalResult.Held h) {
-        if (e.incarnation != 0 && e.incarnation != h.incarnation()) {
+        boolean otherIncarnation = e.incarnation != 0 && e.incarnation != h.incarnation();
+        if (otherIncarnation && request.sentAtMs() < e.lastAnsweredCallSentAtMs) {
+            board.log("event=renewal_outdated endpoint=" + e.registration.id() + " incarnation=" + h.incarnation()
+                    + " current=" + e.incarnation);
+            return;
+        }
+        if (otherIncarnation) {
             resetIncarnation(e, "restarted");
+            e.forgetClock();
         }
         e.incarnation = h.incarnation();
         e.lastAnsweredCallSentAtMs = Math.max(e.lastAnsweredCallSentAtMs, request.sentAtMs());
         e.setClock(h.clockMs(), board.now);
+        if (otherIncarnation && !e.runs.isEmpty()) {
+            // The new incarnation accepts starts that were addressed to the earlier one, with deadlines of its clock.
+            e.extendLease(board.now, MAX_LEASE_MS);
+            repeatStops(e);
+        }
         if (e.unansweredCalls > 0) {
             board.log("event=endpoint_back endpoint=" + e.registration.id() + " unanswered=" + e.unansweredCalls);
             e.unansweredCalls = 0;
@@ -367,6 +389,22 @@
         }
     }
 
+    /** Returns whether the last order for the run was answered, or timed out, before a call was sent. */
+    private static boolean isOrderedBefore(OwnedTask t, long sentAtMs) {
+        switch (t.state) {
+            case RUNNING:
+                return t.confirmedAtMs < sentAtMs;
+            case STOPPING:
+                return t.stopSentAtMs < sentAtMs;
+            default:
+                return false;
+        }
+    }
+
+    /**
+     * Discards what is known of an earlier incarnation of an endpoint, except for the runs: an order names only the
+     * endpoint's identifier, so that a run may have been started by the current incarnation.
+     */
     private void resetIncarnation(LeasedEndpoint e, String why) {
         board.warn("event=endpoint_" + why + " endpoint=" + e.registration.id() + " runs=" + e.runs.size());
         e.acknowledgedSequence = 0;
@@ -376,9 +414,24 @@
         e.renewing = false;
         e.probing = false;
         e.lastAnsweredCallSentAtMs = Long.MIN_VALUE;
-        e.forgetClock();
-        for (OwnedTask t : new ArrayList<>(e.runs.values())) {
-            listener.onRunLost(t, why);
+    }
+
+    /** Repeats the stops of runs: the current incarnation does not know those that an earlier one accepted. */
+    private void repeatStops(LeasedEndpoint e) {
+        for (OwnedTask t : e.runs.values()) {
+            if (t.state == OwnedTask.State.STOPPING) {
+                t.stopAccepted = false;
+                t.stopSentAtMs = board.now;
+                board.emit(new PoolEffect.Stop(e.registration, board.token, t.run()));
+            }
+        }
+    }
+
+    private void loseRuns(LeasedEndpoint e, String why, Predicate<OwnedTask> lost) {
+        for (OwnedTask t : List.copyOf(e.runs.values())) {
+            if (lost.test(t)) {
+                listener.onRunLost(t, why);
+            }
         }
     }
 
@@ -474,6 +527,8 @@
         task.startedAtMs = OwnedTask.START_UNKNOWN_MS;
         task.confirmedAtMs = board.now;
         e.add(task);
+        // The run has the lease that its earlier owner granted.
+        e.extendLease(board.now, MAX_LEASE_MS);
         return true;
     }
 }
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/PoolEffect.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/PoolEffect.java
@@ -75,13 +75,11 @@
      *
      * @param endpoint the endpoint
      * @param token the fencing token
-     * @param incarnation the incarnation of the endpoint for which the order is valid
      * @param run the run
      * @param payload the input of the task
      * @param deadlineMs when the lease expires, on the endpoint's clock, in milliseconds; the order is invalid after that
      */
-    record Start(PoolEndpoint endpoint, long token, long incarnation, RunId run, String payload, long deadlineMs)
-            implements PoolEffect {}
+    record Start(PoolEndpoint endpoint, long token, RunId run, String payload, long deadlineMs) implements PoolEffect {}
 
     /**
      * Stops a run, or prevents it from starting later.
