Explain the new rules of the pool for a reader, report a failed check of callers

From reading the change as a newcomer: comments on what a pause voids and why jobs are stopped early after it; the constants say what they hold. EffectPerformer logs a failure of the check of callers, which ended without a line before. New test: events that wait at the event loop are reported before the check of callers ends.

--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/EffectPerformer.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/EffectPerformer.java
@@ -123,12 +123,12 @@
         } else if (effect instanceof PoolEffect.ReadOwnership) {
             readOwnership();
         } else if (effect instanceof PoolEffect.CheckCallers c) {
-            checkCallers(c.requestedAtMs());
+            checkCallers(c);
         }
     }
 
-    /** Waits until each event loop has received what had arrived at its connections. */
-    private void checkCallers(long requestedAtMs) {
+    /** Publishes the result once each event loop has polled its connections, so that disconnects are published before. */
+    private void checkCallers(PoolEffect.CheckCallers effect) {
         List<CompletableFuture<Void>> checks = new ArrayList<>();
         for (EventExecutor loop : clients.group()) {
             CompletableFuture<Void> check = new CompletableFuture<>();
@@ -136,7 +136,11 @@
             checks.add(check);
         }
         CompletableFuture.allOf(checks.toArray(new CompletableFuture<?>[0]))
-                .thenRun(() -> events.accept(new PoolEvent.CallersChecked(requestedAtMs)));
+                .thenRun(() -> events.accept(new PoolEvent.CallersChecked(effect.requestedAtMs())))
+                .exceptionally(error -> {
+                    logFailure(effect, error);
+                    return null;
+                });
     }
 
     private void sendToOwner(PoolEffect.SendToOwner effect) {
--- a/org.gooseberrypier.server/src/test/java/org/gooseberrypier/server/pool/EffectPerformerTest.java
+++ b/org.gooseberrypier.server/src/test/java/org/gooseberrypier/server/pool/EffectPerformerTest.java
@@ -185,6 +185,15 @@
         assertNotEquals(publisher, Thread.currentThread());
     }
 
+    @Test
+    public void disconnectsThatWaitAtTheEventLoopAreReportedBeforeTheCheckOfCallers() throws InterruptedException {
+        EffectPerformer p = performer(false);
+        group.next().execute(() -> publish(new PoolEvent.CallerDisconnected(7)));
+        p.perform(new PoolEffect.CheckCallers(1_000));
+        assertEquals(nextEvent(), new PoolEvent.CallerDisconnected(7));
+        assertEquals(nextEvent(), new PoolEvent.CallersChecked(1_000));
+    }
+
     @Test(dataProvider = "failures")
     public void failuresOfEffectsWithoutResultDoNotThrow(boolean thrown) {
         EffectPerformer p = performer(thrown);
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
@@ -29,9 +29,8 @@
     private static final long ENTRY_RECONNECT_TIMEOUT_MS = 400;
 
     /**
-     * Time within which an entry VM must acknowledge a heartbeat after a pause of the owner before its jobs are stopped, in
-     * milliseconds. The pause may have outlasted the silence timeout of the VM's link, and renewed leases keep runs of a VM
-     * that has left alive.
+     * Time within which an entry VM must acknowledge a heartbeat after a pause of the owner, in milliseconds; its jobs are
+     * stopped after that. The VM may have left during the pause, and the owner's renewals keep its runs alive.
      */
     private static final long CONFIRMATION_TIMEOUT_MS = 150;
 
@@ -201,6 +200,7 @@
         }
     }
 
+    /** Removes the entry VMs of a job whose links have been down for too long, and ends the job after the last of them. */
     private void removeDisconnected(OwnedJob job) {
         List<VmIncarnation> lost = new ArrayList<>();
         job.subscribers.forEach((vm, since) -> {
@@ -210,7 +210,7 @@
         });
         for (VmIncarnation vm : lost) {
             job.subscribers.remove(vm);
-            // A VM that was only late to answer has to let its callers submit the job again.
+            // If the VM was only late, its callers must learn that the job does not go on.
             board.sendToEntry(
                     vm, new PoolMessage.JobFinished(job.spec.id(), new JobOutcome.Unknown("link interrupted")));
         }
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseController.java
@@ -26,7 +26,7 @@
     /** Duration of a lease, in milliseconds; it is below the platform's limit by the transmission time of an order. */
     static final long LEASE_MS = 900;
 
-    /** Longest lease that an endpoint grants, in milliseconds; it shortens longer ones, as those of another clock may be. */
+    /** Longest lease that an endpoint grants, in milliseconds; it shortens deadlines that lie beyond. */
     private static final long MAX_LEASE_MS = 1_000;
 
     /** Maximum wait of an endpoint for an end before it answers, in milliseconds; three renewals fit into a lease. */
@@ -389,7 +389,7 @@
         }
     }
 
-    /** Returns whether the last order for the run was answered, or timed out, before a call was sent. */
+    /** Returns whether the run was started or its stop was ordered before a call was sent. */
     private static boolean isOrderedBefore(OwnedTask t, long sentAtMs) {
         switch (t.state) {
             case RUNNING:
@@ -427,6 +427,7 @@
         }
     }
 
+    /** Reports those runs of the endpoint as lost that match a condition. */
     private void loseRuns(LeasedEndpoint e, String why, Predicate<OwnedTask> lost) {
         for (OwnedTask t : List.copyOf(e.runs.values())) {
             if (lost.test(t)) {
@@ -527,7 +528,7 @@
         task.startedAtMs = OwnedTask.START_UNKNOWN_MS;
         task.confirmedAtMs = board.now;
         e.add(task);
-        // The run has the lease that its earlier owner granted.
+        // The earlier owner of the run granted a lease that is not known here.
         e.extendLease(board.now, MAX_LEASE_MS);
         return true;
     }
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LinkedVms.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LinkedVms.java
@@ -30,8 +30,11 @@
 
     private final PoolBoard board;
     private final Map<VmIncarnation, Link> links = new LinkedHashMap<>();
+    /** VMs that have not acknowledged a heartbeat since the last pause of this VM. */
     private final Set<VmIncarnation> unconfirmed = new HashSet<>();
+    /** When this VM last resumed after a pause, in milliseconds; acknowledgements of earlier heartbeats are void. */
     private long pausedUntilMs = Long.MIN_VALUE;
+
     private boolean ownCallersUnconfirmed;
 
     /**
