--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/EntryController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/EntryController.java
@@ -86,9 +86,10 @@
         }
         job.callers.remove(call);
         if (job.callers.isEmpty()) {
-            board.log("event=caller_gone job=" + id + " age_ms=" + (board.now - job.arrivedAtMs));
             jobs.remove(id);
-            withdraw(job);
+            boolean withdrawn = withdraw(job);
+            board.log("event=caller_gone job=" + id + " age_ms=" + (board.now - job.arrivedAtMs) + " owners="
+                    + job.earlierOwners + " withdrawn=" + withdrawn);
         }
     }
 
@@ -100,10 +101,13 @@
         }
     }
 
-    private void withdraw(EntryJob job) {
-        if (ownerLinked && job.mayBeAdmitted()) {
+    /** Tells the owner that nobody waits for a job any more; returns false if there is no link or no need to. */
+    private boolean withdraw(EntryJob job) {
+        boolean needed = ownerLinked && job.mayBeAdmitted();
+        if (needed) {
             board.sendToOwner(new PoolMessage.WithdrawJob(job.spec.id()));
         }
+        return needed;
     }
 
     private void forward(EntryJob job) {
@@ -147,6 +151,10 @@
     void onOwnerLinkChanged(boolean nowLinked) {
         if (nowLinked) {
             ownerLinked = true;
+            if (!jobs.isEmpty()) {
+                board.log("event=jobs_forwarded owner=" + (board.isOwner() ? "self" : board.linkedOwner) + " jobs="
+                        + jobs.size() + " unlinked_ms=" + (board.now - ownerUnlinkedSinceMs));
+            }
             for (EntryJob j : List.copyOf(jobs.values())) {
                 forward(j);
             }
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
@@ -131,12 +131,12 @@
         job.subscribers.put(from, 0L);
         board.jobs.put(spec.id(), job);
         if (mayHaveRun) {
-            resume(job, message);
+            resume(job, from, message);
         }
         board.placementDue = true;
     }
 
-    private void resume(OwnedJob job, PoolMessage.ForwardJob message) {
+    private void resume(OwnedJob job, VmIncarnation from, PoolMessage.ForwardJob message) {
         for (int i : message.doneTasks()) {
             setDone(job, i);
         }
@@ -145,7 +145,9 @@
         }
         leases.adopt(job);
         skipEarlierAttempts(job, message);
-        board.log("event=job_resumed job=" + job.spec.id() + " done=" + job.doneTasks + " running=" + job.activeTasks);
+        board.log("event=job_resumed job=" + job.spec.id() + " vm=" + from.address() + " age_ms=" + message.ageMs()
+                + " earlier_owners=" + message.earlierOwners() + " done=" + job.doneTasks + " running="
+                + job.activeTasks);
         completeIfDone(job);
     }
 
@@ -170,6 +172,18 @@
         }
     }
 
+    /** Returns the number of jobs that an entry VM waits for. */
+    private long jobsAwaitedBy(VmIncarnation vm) {
+        return board.jobs.values().stream()
+                .filter(j -> j.subscribers.containsKey(vm))
+                .count();
+    }
+
+    /** Logs a new link of an entry VM. */
+    void onEntryLinkUp(VmIncarnation vm, boolean replaced) {
+        board.log("event=entry_linked vm=" + vm.address() + " replaced=" + replaced + " jobs=" + jobsAwaitedBy(vm));
+    }
+
     /** Marks the link of an entry VM as up again for its jobs; over a new link the VM forwards its jobs again instead. */
     void onEntryLinkConfirmed(VmIncarnation vm) {
         for (OwnedJob j : board.jobs.values()) {
@@ -178,6 +192,7 @@
     }
 
     void onEntryLinkDown(VmIncarnation vm) {
+        board.log("event=entry_unlinked vm=" + vm.address() + " jobs=" + jobsAwaitedBy(vm));
         markDisconnected(vm, board.now);
     }
 
@@ -221,7 +236,8 @@
 
     /** Stops the runs of a job that nobody waits for; the job is removed when no run of it is left. */
     private void endJob(OwnedJob job, String why) {
-        board.log("event=job_ended job=" + job.spec.id() + " reason=\"" + why + "\" running=" + job.activeTasks);
+        board.log("event=job_ended job=" + job.spec.id() + " reason=\"" + why + "\" age_ms="
+                + (board.now - job.arrivedAtMs) + " running=" + job.activeTasks);
         job.ending = true;
         for (OwnedTask t : job.tasks) {
             if (t.state == OwnedTask.State.STARTING || t.state == OwnedTask.State.RUNNING) {
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
@@ -113,6 +113,7 @@
 
     private void dispatchToOwner(PoolEvent event) {
         if (event instanceof PoolEvent.EntryLinkUp e) {
+            jobs.onEntryLinkUp(e.vm(), linkedVms.all().contains(e.vm()));
             linkedVms.onUp(e.vm(), e.acknowledgesHeartbeats());
             successorsChanged = true;
         } else if (event instanceof PoolEvent.CallersChecked e) {
