--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolRandomTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolRandomTest.java
@@ -34,8 +34,10 @@
     public void noTaskRunsTwiceConcurrentlyAndEveryCallerIsAnswered() {
         List<String> failures = new ArrayList<>();
         String firstHistory = "";
+        int replacedLinks = 0;
         for (int seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
             PoolSimulation s = run(seed, e -> {});
+            replacedLinks += s.links.replaced;
             List<String> broken = new ArrayList<>(s.violations);
             for (PoolSimulation.Caller c : s.callers.values()) {
                 if (!c.isAnswered()) {
@@ -47,6 +49,7 @@
                 failures.add("seed " + seed + ": " + broken);
             }
         }
+        System.out.println("links replaced before their loss was noticed: " + replacedLinks);
         assertTrue(failures.isEmpty(), String.join("\n", failures) + "\n" + firstHistory);
     }
 
@@ -164,7 +167,7 @@
 
         private void inject() {
             long durationMs = 300 + r.nextInt(5_000);
-            switch (r.nextInt(15)) {
+            switch (r.nextInt(16)) {
                 case 0 -> killOwner(durationMs);
                 case 1 -> kill(s.vms.get(r.nextInt(s.vms.size())), durationMs);
                 case 11 -> killMost(durationMs);
@@ -198,10 +201,16 @@
                     // Delayed orders may arrive after their owner was killed.
                     s.after(r.nextInt((int) durationMs), () -> killOwner(durationMs));
                 }
+                case 15 -> silenceLinks();
                 default -> crash(s.endpoints.get(r.nextInt(s.endpoints.size())), durationMs);
             }
         }
 
+        /** Makes links of entry VMs silent for good, while new links to the same owner work. */
+        private void silenceLinks() {
+            s.vms.stream().filter(v -> v.alive && r.nextBoolean()).forEach(s.links::silence);
+        }
+
         private void killOwner(long durationMs) {
             s.vms.stream().filter(v -> v.alive && v.isOwner()).findFirst().ifPresent(v -> kill(v, durationMs));
         }
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolSimulation.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolSimulation.java
@@ -14,15 +14,14 @@
 /** Simulates VMs, endpoints, a store and callers with faults in virtual time, and checks the invariants of the pool. */
 final class PoolSimulation {
 
-    private static final long LINK_TIMEOUT_MS = 400;
     private static final long CALL_TIMEOUT_MS = 300;
-    private static final long SILENCE_CHECK_DELAY_MS = 200;
     private static final long RESUBMIT_DELAY_MS = 1_300;
     private static final long ENDPOINT_INTERVAL_MS = 5;
     private static final long REGISTRATION_HEARTBEAT_MS = 1_500;
     private static final long REGISTRATION_TTL_MS = 3 * REGISTRATION_HEARTBEAT_MS;
 
     final Random random;
+    final SimulatedLinks links;
     final List<SimulatedVm> vms = new ArrayList<>();
     final List<SimulatedEndpoint> endpoints = new ArrayList<>();
     final Map<String, Caller> callers = new HashMap<>();
@@ -68,6 +67,7 @@
 
     PoolSimulation(long seed, int vmCount, int endpointCount) {
         random = new Random(seed);
+        links = new SimulatedLinks(this);
         for (int i = 0; i < vmCount; i++) {
             vms.add(new SimulatedVm(this, i));
         }
@@ -125,16 +125,7 @@
 
     void kill(SimulatedVm vm) {
         vm.kill();
-        for (SimulatedVm other : vms) {
-            if (other.alive && other.linkTarget.equals(vm.contact.address()) && other.linked) {
-                other.linked = false;
-                deliver(other, 2, new PoolEvent.OwnerLinkDown(vm.contact.address(), false));
-                reconnectLater(other, other.startNumber(), vm.contact.address());
-            }
-            if (other.alive) {
-                deliver(other, 2, new PoolEvent.EntryLinkDown(vm.contact));
-            }
-        }
+        links.onKilled(vm);
         for (Caller c : callers.values()) {
             if (c.waiting && c.vm == vm.index) {
                 c.waiting = false;
@@ -190,7 +181,7 @@
         return cuts.contains(a + "|" + b) || cuts.contains(b + "|" + a);
     }
 
-    private void deliver(SimulatedVm vm, long ms, PoolEvent event) {
+    void deliver(SimulatedVm vm, long ms, PoolEvent event) {
         long startNumber = vm.startNumber();
         after(ms, () -> vm.deliver(startNumber, event));
     }
@@ -244,11 +235,11 @@
         } else if (effect instanceof PoolEffect.CheckCallers c) {
             deliver(vm, 20, new PoolEvent.CallersChecked(c.requestedAtMs()));
         } else if (effect instanceof PoolEffect.LinkOwner l) {
-            link(vm, l.peer());
+            links.link(vm, l.peer());
         } else if (effect instanceof PoolEffect.SendToOwner s) {
-            sendOwner(vm, s.message());
+            links.sendToOwner(vm, s.message());
         } else if (effect instanceof PoolEffect.SendToEntry s) {
-            sendToEntry(vm, s);
+            links.sendToEntry(vm, s);
         } else if (effect instanceof PoolEffect.RenewLeases h) {
             renewLeases(vm, h);
         } else if (effect instanceof PoolEffect.Start s) {
@@ -287,115 +278,10 @@
         deliver(vm, lost ? 600 : 5, new PoolEvent.ClaimEnded(c.owner(), lost ? new ClaimResult.Unanswered() : result));
     }
 
-    private void link(SimulatedVm vm, String peer) {
-        if (vm.linked) {
-            unlink(vm);
-        }
-        vm.linkTarget = peer;
-        if (!peer.isEmpty()) {
-            connect(vm, vm.startNumber(), peer);
-        }
-    }
-
-    private void unlink(SimulatedVm vm) {
-        vm.linked = false;
-        SimulatedVm peer = byAddress(vm.linkTarget);
-        String target = vm.linkTarget;
-        if (peer.alive && !isCut(vm.contact.address(), target)) {
-            // Must precede the next link between the same VMs: the other end knows which of its links was closed.
-            deliver(peer, 1, new PoolEvent.EntryLinkDown(vm.contact));
-        } else if (peer.alive) {
-            long peerStartNumber = peer.startNumber();
-            after(LINK_TIMEOUT_MS, () -> {
-                if (!vm.linked || !vm.linkTarget.equals(target)) {
-                    peer.deliver(peerStartNumber, new PoolEvent.EntryLinkDown(vm.contact));
-                }
-            });
-        }
-    }
-
-    private SimulatedVm byAddress(String address) {
+    SimulatedVm byAddress(String address) {
         return vms.get(Integer.parseInt(address.substring(3)));
     }
 
-    private void connect(SimulatedVm vm, long startNumber, String target) {
-        if (!vm.isCurrentStart(startNumber) || !vm.linkTarget.equals(target) || vm.linked) {
-            return;
-        }
-        SimulatedVm peer = byAddress(target);
-        boolean cut = isCut(vm.contact.address(), target);
-        if (peer.alive && !cut && !peer.frozen && !vm.frozen) {
-            vm.linked = true;
-            deliver(vm, 1, new PoolEvent.OwnerLinkDown(target, false));
-            deliver(peer, 1, new PoolEvent.EntryLinkUp(vm.contact, true));
-            deliver(vm, 2, new PoolEvent.OwnerLinkUp(target));
-            watch(vm, startNumber, target, peer.startNumber());
-        } else {
-            linkDown(vm, startNumber, target, peer.alive || cut ? LINK_TIMEOUT_MS : 2, !peer.alive && !cut);
-            reconnectLater(vm, startNumber, target);
-        }
-    }
-
-    /** Reports a link as down, unless it has come up again before the loss is detected. */
-    private void linkDown(SimulatedVm vm, long startNumber, String target, long ms, boolean refused) {
-        after(ms, () -> {
-            if (!vm.linked || !vm.linkTarget.equals(target)) {
-                vm.deliver(startNumber, new PoolEvent.OwnerLinkDown(target, refused));
-            }
-        });
-    }
-
-    private void reconnectLater(SimulatedVm vm, long startNumber, String target) {
-        after(40, () -> connect(vm, startNumber, target));
-    }
-
-    /** Closes a link on which no data passes for a while. */
-    private void watch(SimulatedVm vm, long startNumber, String target, long peerStartNumber) {
-        after(100, () -> {
-            SimulatedVm peer = byAddress(target);
-            if (!vm.isCurrentStart(startNumber)
-                    || !vm.linked
-                    || !vm.linkTarget.equals(target)
-                    || !peer.isCurrentStart(peerStartNumber)) {
-                return;
-            }
-            if (isCut(vm.contact.address(), target) || peer.frozen || vm.frozen) {
-                vm.linked = false;
-                linkDown(vm, startNumber, target, LINK_TIMEOUT_MS, false);
-                // The two ends may detect the silence at different times, since one direction may fail later.
-                after(
-                        LINK_TIMEOUT_MS + random.nextInt((int) LINK_TIMEOUT_MS),
-                        () -> detectSilence(peer, peerStartNumber, vm, target));
-                reconnectLater(vm, startNumber, target);
-            } else {
-                watch(vm, startNumber, target, peerStartNumber);
-            }
-        });
-    }
-
-    /** Reports the loss of a link to the VM that accepted it; a frozen VM detects it only some time after it has resumed. */
-    private void detectSilence(SimulatedVm peer, long peerStartNumber, SimulatedVm vm, String target) {
-        if (peer.frozen && peer.isCurrentStart(peerStartNumber)) {
-            after(SILENCE_CHECK_DELAY_MS, () -> detectSilence(peer, peerStartNumber, vm, target));
-        } else if (!vm.linked || !vm.linkTarget.equals(target)) {
-            peer.deliver(peerStartNumber, new PoolEvent.EntryLinkDown(vm.contact));
-        }
-    }
-
-    private void sendOwner(SimulatedVm vm, PoolMessage.ToOwner message) {
-        if (vm.linked && !isCut(vm.contact.address(), vm.linkTarget)) {
-            deliver(byAddress(vm.linkTarget), 2, new PoolEvent.EntryMessageReceived(vm.contact, message));
-        }
-    }
-
-    private void sendToEntry(SimulatedVm vm, PoolEffect.SendToEntry s) {
-        SimulatedVm to = byAddress(s.vm().address());
-        boolean open = to.linked && to.linkTarget.equals(vm.contact.address()) && to.contact.equals(s.vm());
-        if (open && !isCut(vm.contact.address(), s.vm().address())) {
-            deliver(to, 2, new PoolEvent.OwnerMessageReceived(vm.contact.address(), s.message()));
-        }
-    }
-
     private Optional<SimulatedEndpoint> reach(SimulatedVm vm, String id) {
         return endpoints.stream()
                 .filter(e -> e.id.equals(id) && e.alive && !isCut(vm.contact.address(), id))
--- /dev/null
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedLink.java
@@ -0,0 +1,25 @@
+package org.gooseberrypier.pool;
+
+/** Link of an entry VM to a peer; each of its two ends learns of its loss at its own time. */
+final class SimulatedLink {
+
+    final SimulatedVm vm;
+    final long vmStartNumber;
+    final VmIncarnation contact;
+    final SimulatedVm peer;
+    final long peerStartNumber;
+    /** Whether nothing passes any more, while new links between the same VMs work. */
+    boolean silent;
+
+    SimulatedLink(SimulatedVm vm, SimulatedVm peer) {
+        this.vm = vm;
+        this.vmStartNumber = vm.startNumber();
+        this.contact = vm.contact;
+        this.peer = peer;
+        this.peerStartNumber = peer.startNumber();
+    }
+
+    String target() {
+        return peer.contact.address();
+    }
+}
--- /dev/null
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedLinks.java
@@ -0,0 +1,192 @@
+package org.gooseberrypier.pool;
+
+import java.util.Random;
+
+/** Opens, watches and closes the links between the VMs of a simulation, and carries their messages. */
+final class SimulatedLinks {
+
+    private static final int LINK_TIMEOUT_MS = 400;
+    private static final int CHECK_INTERVAL_MS = 100;
+    private static final long RECONNECT_DELAY_MS = 40;
+    private static final long SILENCE_CHECK_DELAY_MS = 200;
+
+    /** How many links were replaced at a peer that had not noticed their loss. */
+    int replaced;
+
+    private final PoolSimulation simulation;
+    private final Random random;
+
+    SimulatedLinks(PoolSimulation simulation) {
+        this.simulation = simulation;
+        this.random = simulation.random;
+    }
+
+    /** Closes the link of a VM and opens one to the given address, or none if it is empty. */
+    void link(SimulatedVm vm, String address) {
+        SimulatedLink old = vm.link;
+        vm.link = null;
+        if (old != null) {
+            closeAtPeer(old);
+        }
+        vm.linkTarget = address;
+        if (!address.isEmpty()) {
+            connect(vm, vm.startNumber(), address);
+        }
+    }
+
+    private void closeAtPeer(SimulatedLink link) {
+        if (link.silent || isCut(link)) {
+            simulation.after(LINK_TIMEOUT_MS, () -> detectLoss(link));
+        } else if (random.nextInt(3) == 0) {
+            // A close whose packet is lost arrives when it is sent again, or the peer detects the silence; the packets
+            // of
+            // the next link are not held up by that.
+            simulation.after(1 + random.nextInt(LINK_TIMEOUT_MS + CHECK_INTERVAL_MS), () -> detectLoss(link));
+        } else {
+            simulation.after(1, () -> endAtPeer(link));
+        }
+    }
+
+    /** Ends a link at the VM that accepted it; a frozen VM detects the loss only some time after it has resumed. */
+    private void detectLoss(SimulatedLink link) {
+        if (link.peer.frozen && link.peer.isCurrentStart(link.peerStartNumber)) {
+            simulation.after(SILENCE_CHECK_DELAY_MS, () -> detectLoss(link));
+        } else {
+            endAtPeer(link);
+        }
+    }
+
+    /** Reports the loss of a link to the VM that accepted it, unless another link of the same VM has replaced it. */
+    private void endAtPeer(SimulatedLink link) {
+        link.peer.run(link.peerStartNumber, () -> {
+            if (link.peer.entryLinks.remove(link.contact, link)) {
+                link.peer.handle(new PoolEvent.EntryLinkDown(link.contact));
+            }
+        });
+    }
+
+    private void attach(SimulatedLink link) {
+        link.peer.run(link.peerStartNumber, () -> {
+            if (link.peer.entryLinks.put(link.contact, link) != null) {
+                replaced++;
+                simulation.logEvent("link of vm-" + link.vm.index + " replaced at its owner vm-" + link.peer.index);
+            }
+            link.peer.handle(new PoolEvent.EntryLinkUp(link.contact, true));
+        });
+    }
+
+    private void connect(SimulatedVm vm, long startNumber, String target) {
+        if (!vm.isCurrentStart(startNumber) || !vm.linkTarget.equals(target) || vm.link != null) {
+            return;
+        }
+        SimulatedVm peer = simulation.byAddress(target);
+        boolean cut = simulation.isCut(vm.contact.address(), target);
+        if (peer.alive && !cut && !peer.frozen && !vm.frozen) {
+            SimulatedLink link = new SimulatedLink(vm, peer);
+            vm.link = link;
+            simulation.deliver(vm, 1, new PoolEvent.OwnerLinkDown(target, false));
+            simulation.after(1, () -> attach(link));
+            simulation.deliver(vm, 2, new PoolEvent.OwnerLinkUp(target));
+            watch(link);
+        } else {
+            reportLoss(vm, startNumber, target, peer.alive || cut ? LINK_TIMEOUT_MS : 2, !peer.alive && !cut);
+            reconnectLater(vm, startNumber, target);
+        }
+    }
+
+    /** Reports a link as down to the VM that opened it, unless it has come up again before the loss is detected. */
+    private void reportLoss(SimulatedVm vm, long startNumber, String target, long ms, boolean refused) {
+        simulation.after(ms, () -> {
+            if (vm.link == null || !vm.linkTarget.equals(target)) {
+                vm.deliver(startNumber, new PoolEvent.OwnerLinkDown(target, refused));
+            }
+        });
+    }
+
+    private void reconnectLater(SimulatedVm vm, long startNumber, String target) {
+        simulation.after(RECONNECT_DELAY_MS, () -> connect(vm, startNumber, target));
+    }
+
+    /** Closes a link on which no data passes for a while. */
+    private void watch(SimulatedLink link) {
+        simulation.after(CHECK_INTERVAL_MS, () -> {
+            if (!isOpenAtVm(link) || !link.peer.isCurrentStart(link.peerStartNumber) || link.silent) {
+                return;
+            }
+            if (isCut(link) || link.peer.frozen || link.vm.frozen) {
+                link.vm.link = null;
+                reportLoss(link.vm, link.vmStartNumber, link.target(), LINK_TIMEOUT_MS, false);
+                // The two ends may detect the silence at different times, since one direction may fail later.
+                simulation.after(LINK_TIMEOUT_MS + random.nextInt(LINK_TIMEOUT_MS), () -> detectLoss(link));
+                reconnectLater(link.vm, link.vmStartNumber, link.target());
+            } else {
+                watch(link);
+            }
+        });
+    }
+
+    /**
+     * Makes the link of a VM silent for good. Either end may detect it first; if the VM that opened the link detects it, its
+     * close does not reach the peer, but the next link does.
+     */
+    void silence(SimulatedVm vm) {
+        SimulatedLink link = vm.link;
+        if (link == null || link.silent) {
+            return;
+        }
+        link.silent = true;
+        simulation.logEvent("link of vm-" + vm.index + " to the owner vm-" + link.peer.index + " silent");
+        simulation.after(LINK_TIMEOUT_MS + random.nextInt(CHECK_INTERVAL_MS), () -> closeSilent(link));
+        simulation.after(
+                LINK_TIMEOUT_MS + random.nextInt(random.nextBoolean() ? CHECK_INTERVAL_MS : LINK_TIMEOUT_MS),
+                () -> detectLoss(link));
+    }
+
+    private void closeSilent(SimulatedLink link) {
+        if (isOpenAtVm(link) && link.vm.frozen) {
+            simulation.after(SILENCE_CHECK_DELAY_MS, () -> closeSilent(link));
+        } else if (isOpenAtVm(link)) {
+            link.vm.link = null;
+            link.vm.deliver(link.vmStartNumber, new PoolEvent.OwnerLinkDown(link.target(), false));
+            reconnectLater(link.vm, link.vmStartNumber, link.target());
+        }
+    }
+
+    /** Ends all links of a VM that was killed. */
+    void onKilled(SimulatedVm vm) {
+        for (SimulatedVm other : simulation.vms) {
+            if (other.alive && other.link != null && other.link.peer == vm) {
+                other.link = null;
+                simulation.deliver(other, 2, new PoolEvent.OwnerLinkDown(vm.contact.address(), false));
+                reconnectLater(other, other.startNumber(), vm.contact.address());
+            }
+            SimulatedLink accepted = other.entryLinks.get(vm.contact);
+            if (other.alive && accepted != null) {
+                simulation.after(2, () -> endAtPeer(accepted));
+            }
+        }
+    }
+
+    void sendToOwner(SimulatedVm vm, PoolMessage.ToOwner message) {
+        SimulatedLink link = vm.link;
+        if (link != null && !link.silent && !isCut(link)) {
+            simulation.deliver(link.peer, 2, new PoolEvent.EntryMessageReceived(link.contact, message));
+        }
+    }
+
+    void sendToEntry(SimulatedVm from, PoolEffect.SendToEntry effect) {
+        SimulatedLink link = from.entryLinks.get(effect.vm());
+        if (link != null && isOpenAtVm(link) && !link.silent && !isCut(link)) {
+            simulation.deliver(
+                    link.vm, 2, new PoolEvent.OwnerMessageReceived(from.contact.address(), effect.message()));
+        }
+    }
+
+    private static boolean isOpenAtVm(SimulatedLink link) {
+        return link.vm.isCurrentStart(link.vmStartNumber) && link.vm.link == link;
+    }
+
+    private boolean isCut(SimulatedLink link) {
+        return simulation.isCut(link.contact.address(), link.target());
+    }
+}
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedVm.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedVm.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
 
 /** Simulated VM in virtual time; its steady clock stops or continues while it is frozen. */
 final class SimulatedVm {
@@ -15,10 +17,15 @@
     boolean alive;
     boolean frozen;
     String linkTarget = "";
-    boolean linked;
+    /** The link to the owner as this VM knows it, or null. */
+    SimulatedLink link;
+
+    /** The links that this VM has accepted and whose loss it has not noticed. */
+    final Map<VmIncarnation, SimulatedLink> entryLinks = new HashMap<>();
+
     private final PoolSimulation simulation;
     int milliCores = 750;
-    private final Deque<PoolEvent> delayed = new ArrayDeque<>();
+    private final Deque<Runnable> delayed = new ArrayDeque<>();
     private PoolCore core;
     private long clockLagMs;
     private long frozenAtMs;
@@ -34,7 +41,8 @@
         startNumber++;
         alive = true;
         frozen = false;
-        linked = false;
+        link = null;
+        entryLinks.clear();
         linkTarget = "";
         delayed.clear();
         contact = new VmIncarnation("vm-" + index, "zone-" + index % 3, incarnation, milliCores);
@@ -79,7 +87,7 @@
             handle(new PoolEvent.PauseDetected());
         }
         while (!delayed.isEmpty() && alive) {
-            handle(delayed.poll());
+            delayed.poll().run();
         }
     }
 
@@ -98,17 +106,22 @@
 
     /** Delivers an event unless the VM has been restarted or killed since the given start. */
     void deliver(long ofStart, PoolEvent event) {
+        run(ofStart, () -> handle(event));
+    }
+
+    /** Runs an action of the VM in the order of its events, unless the VM has been restarted or killed since the given start. */
+    void run(long ofStart, Runnable action) {
         if (!isCurrentStart(ofStart)) {
             return;
         }
         if (frozen) {
-            delayed.add(event);
+            delayed.add(action);
         } else {
-            handle(event);
+            action.run();
         }
     }
 
-    private void handle(PoolEvent event) {
+    void handle(PoolEvent event) {
         core.handle(event, clockMs());
     }
 
