--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolSimulation.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolSimulation.java
@@ -14,15 +14,14 @@
 /** Simulates VMs, endpoints, a store and callers with faults in virtual time, and checks the invariants of the pool. */
 final class PoolSimulation {
 
-    private static final long LINK_TIMEOUT_MS = 400;
     private static final long CALL_TIMEOUT_MS = 300;
-    private static final long SILENCE_CHECK_DELAY_MS = 200;
     private static final long RESUBMIT_DELAY_MS = 1_300;
     private static final long ENDPOINT_INTERVAL_MS = 5;
     private static final long REGISTRATION_HEARTBEAT_MS = 1_500;
     private static final long REGISTRATION_TTL_MS = 3 * REGISTRATION_HEARTBEAT_MS;
 
     final Random random;
+    final SimulatedLinks links;
     final List<SimulatedVm> vms = new ArrayList<>();
     final List<SimulatedEndpoint> endpoints = new ArrayList<>();
     final Map<String, Caller> callers = new HashMap<>();
@@ -44,31 +43,44 @@
     private long order;
     private long lastCall;
     private long incarnations;
-    private long lastLink;
 
     private record Step(long atMs, long order, Runnable action) {}
 
-    /** Caller that waits for one job and submits it again when its VM is lost. */
+    /** Caller that waits for one job; it submits the job again when its VM is lost or it has waited for long enough. */
     static final class Caller {
+        /** How many times a caller waits until its deadline before it gives up. */
+        private static final int MAX_DEADLINES = 3;
+
         final PoolJob job;
+        /** How long the caller waits for an answer to one submission, in milliseconds; 0 if without end. */
+        final long patienceMs;
+
         final List<JobOutcome> answers = new ArrayList<>();
         long call;
         int vm;
         long vmStartNumber;
         boolean waiting;
         int attempts;
+        private int deadlines;
 
-        Caller(PoolJob job) {
+        Caller(PoolJob job, long patienceMs) {
             this.job = job;
+            this.patienceMs = patienceMs;
         }
 
         boolean isAnswered() {
             return !answers.isEmpty() && !(answers.get(answers.size() - 1) instanceof JobOutcome.Unknown) && !waiting;
         }
+
+        /** Returns whether the caller left at its deadline as often as it submits the job again after that. */
+        boolean hasGivenUp() {
+            return !waiting && deadlines == MAX_DEADLINES;
+        }
     }
 
     PoolSimulation(long seed, int vmCount, int endpointCount) {
         random = new Random(seed);
+        links = new SimulatedLinks(this);
         for (int i = 0; i < vmCount; i++) {
             vms.add(new SimulatedVm(this, i));
         }
@@ -126,16 +138,7 @@
 
     void kill(SimulatedVm vm) {
         vm.kill();
-        for (SimulatedVm other : vms) {
-            if (other.alive && other.linkTarget.equals(vm.contact.address()) && other.linked) {
-                other.linked = false;
-                deliver(other, 2, new PoolEvent.OwnerLinkDown(vm.contact.address(), false));
-                reconnectLater(other, other.startNumber(), vm.contact.address());
-            }
-            if (other.alive) {
-                deliver(other, 2, new PoolEvent.EntryLinkDown(vm.contact, vm.link));
-            }
-        }
+        links.onKilled(vm);
         for (Caller c : callers.values()) {
             if (c.waiting && c.vm == vm.index) {
                 c.waiting = false;
@@ -145,7 +148,12 @@
     }
 
     Caller submit(PoolJob job) {
-        Caller c = new Caller(job);
+        return submit(job, 0);
+    }
+
+    /** Submits a job for a caller that waits for a limited time, in milliseconds, and then submits it again at any VM. */
+    Caller submit(PoolJob job, long patienceMs) {
+        Caller c = new Caller(job, patienceMs);
         callers.put(job.id(), c);
         send(c);
         return c;
@@ -153,7 +161,7 @@
 
     /** Submits a job to the given VM. */
     Caller submitAt(SimulatedVm vm, PoolJob job) {
-        Caller c = new Caller(job);
+        Caller c = new Caller(job, 0);
         callers.put(job.id(), c);
         send(c, vm);
         return c;
@@ -185,13 +193,33 @@
         c.waiting = true;
         calls.put(c.call, c);
         deliver(vm, 3, new PoolEvent.JobSubmitted(c.call, c.job));
+        if (c.patienceMs > 0) {
+            long call = c.call;
+            after(c.patienceMs, () -> leave(c, call, vm));
+        }
+    }
+
+    /** Closes the connection of a caller that has not been answered by its deadline. */
+    private void leave(Caller c, long call, SimulatedVm vm) {
+        if (!c.waiting || c.call != call) {
+            return;
+        }
+        c.waiting = false;
+        c.deadlines++;
+        calls.remove(call);
+        vm.appendLog("caller of " + c.job.id() + " leaves");
+        long startNumber = c.vmStartNumber;
+        after(3, () -> vm.deliver(startNumber, new PoolEvent.CallerDisconnected(call)));
+        if (!c.hasGivenUp()) {
+            after(RESUBMIT_DELAY_MS, () -> send(c));
+        }
     }
 
     boolean isCut(String a, String b) {
         return cuts.contains(a + "|" + b) || cuts.contains(b + "|" + a);
     }
 
-    private void deliver(SimulatedVm vm, long ms, PoolEvent event) {
+    void deliver(SimulatedVm vm, long ms, PoolEvent event) {
         long startNumber = vm.startNumber();
         after(ms, () -> vm.deliver(startNumber, event));
     }
@@ -245,11 +273,11 @@
         } else if (effect instanceof PoolEffect.CheckCallers c) {
             deliver(vm, 20, new PoolEvent.CallersChecked(c.requestedAtMs()));
         } else if (effect instanceof PoolEffect.LinkOwner l) {
-            link(vm, l.peer());
+            links.link(vm, l.peer());
         } else if (effect instanceof PoolEffect.SendToOwner s) {
-            sendOwner(vm, s.message());
+            links.sendToOwner(vm, s.message());
         } else if (effect instanceof PoolEffect.SendToEntry s) {
-            sendToEntry(vm, s);
+            links.sendToEntry(vm, s);
         } else if (effect instanceof PoolEffect.RenewLeases h) {
             renewLeases(vm, h);
         } else if (effect instanceof PoolEffect.Start s) {
@@ -288,118 +316,10 @@
         deliver(vm, lost ? 600 : 5, new PoolEvent.ClaimEnded(c.owner(), lost ? new ClaimResult.Unanswered() : result));
     }
 
-    private void link(SimulatedVm vm, String peer) {
-        if (vm.linked) {
-            unlink(vm);
-        }
-        vm.linkTarget = peer;
-        if (!peer.isEmpty()) {
-            connect(vm, vm.startNumber(), peer);
-        }
-    }
-
-    private void unlink(SimulatedVm vm) {
-        vm.linked = false;
-        SimulatedVm peer = byAddress(vm.linkTarget);
-        String target = vm.linkTarget;
-        if (peer.alive && !isCut(vm.contact.address(), target)) {
-            // Must precede the next link between the same VMs: the other end knows which of its links was closed.
-            deliver(peer, 1, new PoolEvent.EntryLinkDown(vm.contact, vm.link));
-        } else if (peer.alive) {
-            long peerStartNumber = peer.startNumber();
-            PoolEvent down = new PoolEvent.EntryLinkDown(vm.contact, vm.link);
-            after(LINK_TIMEOUT_MS, () -> {
-                if (!vm.linked || !vm.linkTarget.equals(target)) {
-                    peer.deliver(peerStartNumber, down);
-                }
-            });
-        }
-    }
-
-    private SimulatedVm byAddress(String address) {
+    SimulatedVm byAddress(String address) {
         return vms.get(Integer.parseInt(address.substring(3)));
     }
 
-    private void connect(SimulatedVm vm, long startNumber, String target) {
-        if (!vm.isCurrentStart(startNumber) || !vm.linkTarget.equals(target) || vm.linked) {
-            return;
-        }
-        SimulatedVm peer = byAddress(target);
-        boolean cut = isCut(vm.contact.address(), target);
-        if (peer.alive && !cut && !peer.frozen && !vm.frozen) {
-            vm.linked = true;
-            vm.link = ++lastLink;
-            deliver(vm, 1, new PoolEvent.OwnerLinkDown(target, false));
-            deliver(peer, 1, new PoolEvent.EntryLinkUp(vm.contact, vm.link, true));
-            deliver(vm, 2, new PoolEvent.OwnerLinkUp(target));
-            watch(vm, startNumber, target, peer.startNumber());
-        } else {
-            linkDown(vm, startNumber, target, peer.alive || cut ? LINK_TIMEOUT_MS : 2, !peer.alive && !cut);
-            reconnectLater(vm, startNumber, target);
-        }
-    }
-
-    /** Reports a link as down, unless it has come up again before the loss is detected. */
-    private void linkDown(SimulatedVm vm, long startNumber, String target, long ms, boolean refused) {
-        after(ms, () -> {
-            if (!vm.linked || !vm.linkTarget.equals(target)) {
-                vm.deliver(startNumber, new PoolEvent.OwnerLinkDown(target, refused));
-            }
-        });
-    }
-
-    private void reconnectLater(SimulatedVm vm, long startNumber, String target) {
-        after(40, () -> connect(vm, startNumber, target));
-    }
-
-    /** Closes a link on which no data passes for a while. */
-    private void watch(SimulatedVm vm, long startNumber, String target, long peerStartNumber) {
-        after(100, () -> {
-            SimulatedVm peer = byAddress(target);
-            if (!vm.isCurrentStart(startNumber)
-                    || !vm.linked
-                    || !vm.linkTarget.equals(target)
-                    || !peer.isCurrentStart(peerStartNumber)) {
-                return;
-            }
-            if (isCut(vm.contact.address(), target) || peer.frozen || vm.frozen) {
-                vm.linked = false;
-                linkDown(vm, startNumber, target, LINK_TIMEOUT_MS, false);
-                PoolEvent down = new PoolEvent.EntryLinkDown(vm.contact, vm.link);
-                // The two ends may detect the silence at different times, since one direction may fail later.
-                after(
-                        LINK_TIMEOUT_MS + random.nextInt((int) LINK_TIMEOUT_MS),
-                        () -> detectSilence(peer, peerStartNumber, vm, target, down));
-                reconnectLater(vm, startNumber, target);
-            } else {
-                watch(vm, startNumber, target, peerStartNumber);
-            }
-        });
-    }
-
-    /** Reports the loss of a link to the VM that accepted it; a frozen VM detects it only some time after it has resumed. */
-    private void detectSilence(SimulatedVm peer, long peerStartNumber, SimulatedVm vm, String target, PoolEvent down) {
-        if (peer.frozen && peer.isCurrentStart(peerStartNumber)) {
-            after(SILENCE_CHECK_DELAY_MS, () -> detectSilence(peer, peerStartNumber, vm, target, down));
-        } else if (!vm.linked || !vm.linkTarget.equals(target)) {
-            peer.deliver(peerStartNumber, down);
-        }
-    }
-
-    private void sendOwner(SimulatedVm vm, PoolMessage.ToOwner message) {
-        if (vm.linked && !isCut(vm.contact.address(), vm.linkTarget)) {
-            deliver(byAddress(vm.linkTarget), 2, new PoolEvent.EntryMessageReceived(vm.contact, vm.link, message));
-        }
-    }
-
-    private void sendToEntry(SimulatedVm vm, PoolEffect.SendToEntry s) {
-        SimulatedVm to = byAddress(s.vm().address());
-        boolean open = to.linked && to.linkTarget.equals(vm.contact.address()) && to.contact.equals(s.vm());
-        if (open && !isCut(vm.contact.address(), s.vm().address())) {
-            deliver(to, 2, new PoolEvent.OwnerMessageReceived(vm.contact.address(), s.message()));
-        }
-    }
-
     private Optional<SimulatedEndpoint> reach(SimulatedVm vm, String id) {
         return endpoints.stream()
                 .filter(e -> e.id.equals(id) && e.alive && !isCut(vm.contact.address(), id))
