--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolSimulation.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolSimulation.java
@@ -31,6 +31,10 @@
     boolean storeDown;
     double answerLossProbability;
     double lateStartProbability;
+    /** Probability that an endpoint leaves a stop unanswered and carries it out 2 to 12 s later. */
+    double lateStopProbability;
+    /** Pairs of a VM and an endpoint, as in {@link #cuts}, between which requests pass and answers are lost. */
+    final Set<String> lostAnswers = new HashSet<>();
     /** Upper bound of the additional delay of the answers to renewals, in milliseconds; other answers overtake them. */
     int renewalAnswerDelayMs;
 
@@ -404,7 +408,9 @@
 
     private void renewLeases(SimulatedVm vm, PoolEffect.RenewLeases h) {
         long startNumber = vm.startNumber();
-        boolean lost = random.nextDouble() < answerLossProbability;
+        boolean lost = random.nextDouble() < answerLossProbability
+                || lostAnswers.contains(
+                        vm.contact.address() + "|" + h.endpoint().id());
         after(1, () -> {
             Optional<SimulatedEndpoint> e = reach(vm, h.endpoint().id());
             boolean[] replied = new boolean[1];
@@ -459,6 +465,10 @@
     private void stop(SimulatedVm vm, PoolEffect.Stop s) {
         long startNumber = vm.startNumber();
         boolean lost = random.nextDouble() < answerLossProbability;
+        if (lateStopProbability > 0 && random.nextDouble() < lateStopProbability) {
+            stopLate(vm, s, startNumber);
+            return;
+        }
         after(1, () -> {
             Optional<SimulatedEndpoint> e = reach(vm, s.endpoint().id());
             boolean accepted = e.isPresent() && e.get().stop(s);
@@ -467,6 +477,19 @@
         });
     }
 
+    /** Lets the endpoint that receives a stop now carry it out later, unless it restarts in the meantime. */
+    private void stopLate(SimulatedVm vm, PoolEffect.Stop s, long startNumber) {
+        reach(vm, s.endpoint().id()).ifPresent(e -> {
+            long incarnation = e.incarnation();
+            after(2_000 + random.nextInt(10_000), () -> {
+                if (e.alive && e.incarnation() == incarnation) {
+                    e.stop(s);
+                }
+            });
+        });
+        after(CALL_TIMEOUT_MS, () -> vm.deliver(startNumber, new PoolEvent.StopEnded(s, false)));
+    }
+
     /**
      * Checks on the start of a run that no other run of the task exists and that its job was not refused. A refusal covers all
      * submissions of the job only if there was just one: a submission that was interrupted was not refused.
