--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/internal/pool/LeaseControllerTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/internal/pool/LeaseControllerTest.java
@@ -194,6 +194,30 @@
         assertEquals(lastRenewal().acknowledgedSequence(), 0);
     }
 
+    /**
+     * Guards against a second run: the owner of a zone may have started runs at the endpoint between two tokens of this
+     * owner. They must expire while the endpoint's answers are lost, since their tasks are started elsewhere after 1.6 s.
+     */
+    @Test
+    public void leasesAreNotExtendedUnderANewTokenBeforeTheEndpointHasListedItsRuns() {
+        answer(lastRenewal(), 90_000, 1);
+        runningTask("job-1", board.now);
+        PoolEffect.RenewLeases open = lastRenewal();
+        board.now += 100;
+        board.token = 8;
+        board.ownerSinceMs = board.now;
+        leases.onOwnershipBegan();
+        for (int i = 0; i < 3; i++) {
+            leases.onLeaseRenewalEnded(
+                    new PoolEvent.LeaseRenewalEnded(open, new LeaseRenewalResult.Unanswered("no answer in time")));
+            board.now += 100;
+            leases.onTick();
+            open = lastRenewal();
+            assertEquals(open.token(), 8);
+            assertEquals(open.deadlineMs(), PoolEffect.RenewLeases.NO_DEADLINE);
+        }
+    }
+
     private static final class RecordingListener implements LeaseController.RunListener {
 
         private final List<OwnedTask> lost = new ArrayList<>();
