--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolRandomTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolRandomTest.java
@@ -39,11 +39,15 @@
         List<String> failures = new ArrayList<>();
         String firstHistory = "";
         int replacedLinks = 0;
+        int late = 0;
+        int lateForwards = 0;
         int resubmitted = 0;
         int gaveUp = 0;
         for (int seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
             PoolSimulation s = run(seed, e -> {});
             replacedLinks += s.links.replaced;
+            late += s.links.late;
+            lateForwards += s.links.lateForwards;
             List<String> broken = new ArrayList<>(s.violations);
             for (PoolSimulation.Caller c : s.callers.values()) {
                 if (!c.isAnswered() && !c.hasGivenUp()) {
@@ -58,7 +62,8 @@
             }
         }
         System.out.println("links replaced before their loss was noticed: " + replacedLinks + ", jobs submitted again: "
-                + resubmitted + ", given up: " + gaveUp);
+                + resubmitted + ", given up: " + gaveUp + ", late messages: " + late + ", of which forwards: "
+                + lateForwards);
         assertTrue(failures.isEmpty(), String.join("\n", failures) + "\n" + firstHistory);
     }
 
@@ -195,7 +200,7 @@
 
         private void inject() {
             long durationMs = 300 + r.nextInt(5_000);
-            switch (r.nextInt(17)) {
+            switch (r.nextInt(18)) {
                 case 0 -> killOwner(durationMs);
                 case 1 -> kill(s.vms.get(r.nextInt(s.vms.size())), durationMs);
                 case 11 -> killMost(durationMs);
@@ -230,6 +235,7 @@
                     s.after(r.nextInt((int) durationMs), () -> killOwner(durationMs));
                 }
                 case 15 -> silenceLinks();
+                case 17 -> cutShortly();
                 case 16 -> cutZoneAndSilenceLinks(1_500 + durationMs);
                 default -> crash(s.endpoints.get(r.nextInt(s.endpoints.size())), durationMs);
             }
@@ -240,6 +246,13 @@
             s.vms.stream().filter(v -> v.alive && r.nextBoolean()).forEach(s.links::silence);
         }
 
+        /** Isolates VMs for about the silence timeout, so that one end may detect the loss of a link and the other one not. */
+        private void cutShortly() {
+            for (int i = 0; i < 6; i++) {
+                s.after(i * 1_000L, () -> cutVm(300 + r.nextInt(600)));
+            }
+        }
+
         /** Isolates a zone, which gets an owner of its own, while links in the rest of the network become silent again and again. */
         private void cutZoneAndSilenceLinks(long durationMs) {
             cutZone(durationMs);
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedLink.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedLink.java
@@ -1,5 +1,8 @@
 package org.gooseberrypier.pool;
 
+import java.util.ArrayList;
+import java.util.List;
+
 /** Link of an entry VM to a peer; each of its two ends learns of its loss at its own time. */
 final class SimulatedLink {
 
@@ -9,6 +12,10 @@
     final SimulatedVm peer;
     final long peerStartNumber;
     final long openedAtMs;
+    /** Messages to the peer that were sent while the network carried nothing, until they arrive late or the link is dropped. */
+    final List<PoolMessage.ToOwner> held = new ArrayList<>();
+    /** Whether the VM that opened the link has not detected its loss, so that it goes on sending on it. */
+    boolean lossUnnoticed;
     /** Whether nothing passes any more, while new links between the same VMs work. */
     boolean silent;
 
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedLinks.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedLinks.java
@@ -9,10 +9,18 @@
     private static final int CHECK_INTERVAL_MS = 100;
     private static final long RECONNECT_DELAY_MS = 40;
     private static final long SILENCE_CHECK_DELAY_MS = 200;
+    private static final long RETRANSMISSION_MS = 200;
+    /** Whether messages that arrive on a link that its peer has ended are handled, as EntryLinks does if gRPC delivers them. */
+    private static final boolean DELIVERS_ON_ENDED_LINKS = Boolean.getBoolean("pool.endedLinks");
 
     /** How many links that had been up for the silence timeout were replaced at a peer that had not noticed their loss. */
     int replaced;
 
+    /** How many messages arrived late, after a cut, and how many of them forwarded a job. */
+    int late;
+
+    int lateForwards;
+
     private final PoolSimulation simulation;
     private final Random random;
 
@@ -116,6 +124,7 @@
             }
             if (isCut(link) || link.peer.frozen || link.vm.frozen) {
                 link.vm.link = null;
+                holdMessages(link);
                 reportLoss(link.vm, link.vmStartNumber, link.target(), LINK_TIMEOUT_MS, false);
                 // The two ends may detect the silence at different times, since one direction may fail later.
                 simulation.after(LINK_TIMEOUT_MS + random.nextInt(LINK_TIMEOUT_MS), () -> detectLoss(link));
@@ -126,6 +135,46 @@
         });
     }
 
+    /** Keeps what the VM sends until it detects the loss, for a part of the links; the kernel sends it when the cut has ended. */
+    private void holdMessages(SimulatedLink link) {
+        if (isCut(link) && random.nextBoolean()) {
+            link.lossUnnoticed = true;
+            link.vm.fadingLink = link;
+            simulation.after(LINK_TIMEOUT_MS, () -> link.lossUnnoticed = false);
+        }
+        if (!link.held.isEmpty() || link.lossUnnoticed) {
+            simulation.after(RETRANSMISSION_MS, () -> retransmit(link, RETRANSMISSION_MS));
+        }
+    }
+
+    /** Delivers held messages when the cut has ended; the interval between the trials doubles, as that of a kernel does. */
+    private void retransmit(SimulatedLink link, long intervalMs) {
+        if (!link.peer.isCurrentStart(link.peerStartNumber) || !link.vm.isCurrentStart(link.vmStartNumber)) {
+            return;
+        }
+        if (isCut(link)) {
+            simulation.after(2 * intervalMs, () -> retransmit(link, 2 * intervalMs));
+            return;
+        }
+        for (PoolMessage.ToOwner m : link.held) {
+            link.peer.run(link.peerStartNumber, () -> receiveLate(link, m));
+        }
+        link.held.clear();
+    }
+
+    private void receiveLate(SimulatedLink link, PoolMessage.ToOwner message) {
+        boolean attached = link.peer.entryLinks.get(link.contact) == link;
+        if (attached || DELIVERS_ON_ENDED_LINKS) {
+            late++;
+            if (message instanceof PoolMessage.ForwardJob f) {
+                lateForwards++;
+                link.peer.appendLog(
+                        "late forward of " + f.job().id() + " by vm-" + link.vm.index + " attached=" + attached);
+            }
+            link.peer.handle(new PoolEvent.EntryMessageReceived(link.contact, message));
+        }
+    }
+
     /**
      * Makes the link of a VM silent for good. Either end may detect it first; if the VM that opened the link detects it, its
      * close does not reach the peer, but the next link does.
@@ -170,7 +219,15 @@
 
     void sendToOwner(SimulatedVm vm, PoolMessage.ToOwner message) {
         SimulatedLink link = vm.link;
-        if (link != null && !link.silent && !isCut(link)) {
+        SimulatedLink fading = vm.fadingLink;
+        if (link == null
+                && fading != null
+                && fading.lossUnnoticed
+                && fading.target().equals(vm.linkTarget)) {
+            fading.held.add(message);
+        } else if (link != null && isCut(link)) {
+            link.held.add(message);
+        } else if (link != null && !link.silent && !isCut(link)) {
             simulation.deliver(link.peer, 2, new PoolEvent.EntryMessageReceived(link.contact, message));
         }
     }
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedVm.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedVm.java
@@ -20,6 +20,9 @@
     /** The link to the owner as this VM knows it, or null. */
     SimulatedLink link;
 
+    /** The latest link whose loss this VM had not detected when the network failed, or null. */
+    SimulatedLink fadingLink;
+
     /** The links that this VM has accepted and whose loss it has not noticed. */
     final Map<VmIncarnation, SimulatedLink> entryLinks = new HashMap<>();
 
@@ -42,6 +45,7 @@
         alive = true;
         frozen = false;
         link = null;
+        fadingLink = null;
         entryLinks.clear();
         linkTarget = "";
         delayed.clear();
