--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolRandomTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolRandomTest.java
@@ -29,6 +29,7 @@
     private static final long FRESH_MS = 6_000;
 
     private static final int FRESH_JOBS = 20;
+    private static final double SILENT_CALLER_PROBABILITY = 0.3;
 
     private interface Setup {
         void apply(SimulatedEndpoint endpoint);
@@ -36,6 +37,19 @@
 
     @Test
     public void noTaskRunsTwiceConcurrentlyAndEveryCallerIsAnswered() {
+        check(0);
+    }
+
+    /**
+     * Callers leave unseen by their VMs and submit the job again. A caller tells by Gooseberrypier-Deadline-Ms how long it
+     * waits, so that a VM need not see it leave.
+     */
+    @Test
+    public void callersThatLeaveUnseenCauseNoSecondRun() {
+        check(SILENT_CALLER_PROBABILITY);
+    }
+
+    private static void check(double silentCallerProbability) {
         List<String> failures = new ArrayList<>();
         String firstHistory = "";
         int replacedLinks = 0;
@@ -43,8 +57,10 @@
         int lateForwards = 0;
         int resubmitted = 0;
         int gaveUp = 0;
+        int silentCallers = 0;
         for (int seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
-            PoolSimulation s = run(seed, e -> {});
+            PoolSimulation s = run(seed, e -> {}, silentCallerProbability);
+            silentCallers += s.silentCallers;
             replacedLinks += s.links.replaced;
             late += s.links.late;
             lateForwards += s.links.lateForwards;
@@ -63,7 +79,7 @@
         }
         System.out.println("links replaced before their loss was noticed: " + replacedLinks + ", jobs submitted again: "
                 + resubmitted + ", given up: " + gaveUp + ", late messages: " + late + ", of which forwards: "
-                + lateForwards);
+                + lateForwards + ", left unseen: " + silentCallers);
         assertTrue(failures.isEmpty(), String.join("\n", failures) + "\n" + firstHistory);
     }
 
@@ -104,7 +120,7 @@
 
     private static List<String> findViolations(Setup fault) {
         for (int seed = 1; seed <= DISABLED_GUARD_SEEDS; seed++) {
-            List<String> found = run(seed, fault).violations.stream()
+            List<String> found = run(seed, fault, 0).violations.stream()
                     .filter(v -> v.contains("two runs"))
                     .toList();
             if (!found.isEmpty()) {
@@ -115,8 +131,9 @@
         return List.of();
     }
 
-    private static PoolSimulation run(int seed, Setup setup) {
+    private static PoolSimulation run(int seed, Setup setup, double silentCallerProbability) {
         PoolSimulation s = new PoolSimulation(seed, 7, 9);
+        s.silentCallerProbability = silentCallerProbability;
         s.endpoints.forEach(setup::apply);
         if (seed % 2 == 0) {
             s.vms.forEach(v -> v.milliCores = 270 + 410 * (v.index % 3));
@@ -165,6 +182,7 @@
         s.storeDown = false;
         s.answerLossProbability = 0;
         s.lateStartProbability = 0;
+        s.silentCallerProbability = 0;
         s.renewalAnswerDelayMs = 0;
         for (SimulatedVm v : s.vms) {
             v.thaw();
@@ -253,7 +271,7 @@
             }
         }
 
-        /** Isolates a zone, which gets an owner of its own, while links in the rest of the network become silent again and again. */
+        /** Isolates a zone, which gets an owner of its own, while links in the rest of the network become silent repeatedly. */
         private void cutZoneAndSilenceLinks(long durationMs) {
             cutZone(durationMs);
             for (long ms = r.nextInt(500); ms < durationMs; ms += 600 + r.nextInt(600)) {
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolSimulation.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolSimulation.java
@@ -30,6 +30,10 @@
     boolean storeDown;
     double answerLossProbability;
     double lateStartProbability;
+    /** Part of the callers that leave unseen, since their connection went silent. */
+    double silentCallerProbability;
+
+    int silentCallers;
     /** Upper bound of the additional delay of the answers to renewals, in milliseconds; other answers overtake them. */
     int renewalAnswerDelayMs;
 
@@ -209,7 +213,12 @@
         calls.remove(call);
         vm.appendLog("caller of " + c.job.id() + " leaves");
         long startNumber = c.vmStartNumber;
-        after(3, () -> vm.deliver(startNumber, new PoolEvent.CallerDisconnected(call)));
+        if (silentCallerProbability > 0 && random.nextDouble() < silentCallerProbability) {
+            silentCallers++;
+            vm.appendLog("caller of " + c.job.id() + " leaves unseen");
+        } else {
+            after(3, () -> vm.deliver(startNumber, new PoolEvent.CallerDisconnected(call)));
+        }
         if (!c.hasGivenUp()) {
             after(RESUBMIT_DELAY_MS, () -> send(c));
         }
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedLinks.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedLinks.java
@@ -135,7 +135,7 @@
         });
     }
 
-    /** Keeps what the VM sends until it detects the loss, for a part of the links; the kernel sends it when the cut has ended. */
+    /** Keeps what the VM sends until it detects the loss, for a part of the links; the kernel sends it after the cut. */
     private void holdMessages(SimulatedLink link) {
         if (isCut(link) && random.nextBoolean()) {
             link.lossUnnoticed = true;
