--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
@@ -26,7 +26,7 @@
 final class JobController implements LeaseController.RunListener {
 
     /** Time within which an entry VM must restore a lost link before its jobs are stopped, in milliseconds. */
-    static final long ENTRY_RECONNECT_TIMEOUT_MS = 400;
+    private static final long ENTRY_RECONNECT_TIMEOUT_MS = 400;
 
     /**
      * Time within which an entry VM must acknowledge a heartbeat after a pause of the owner, in milliseconds; its jobs are
@@ -38,6 +38,7 @@
     private static final long STOP_RETRY_DELAY_MS = 250;
 
     private final PoolBoard board;
+    private final LeaseLimit leaseLimit;
     private final LeaseController leases;
     private final OwnershipController ownership;
     private final LinkedVms linkedVms;
@@ -57,10 +58,11 @@
         this.board = board;
         this.ownership = ownership;
         this.linkedVms = linkedVms;
-        this.leases = new LeaseController(board, linkedVms, this);
+        this.leaseLimit = new LeaseLimit(linkedVms);
+        this.leases = new LeaseController(board, linkedVms, leaseLimit, this);
         this.duplicateRunGuard = new DuplicateRunGuard(board, leases);
         this.slowRunDetector = new SlowRunDetector(board, durations);
-        this.planner = new PlacementPlanner(durations, JobOrder.of(policy.order()), policy.dropsLate());
+        this.planner = new PlacementPlanner(durations, leaseLimit, JobOrder.of(policy.order()), policy.dropsLate());
         this.admission = new JobAdmission(board, planner, policy.refusesOnArrival());
         durations.setRemotePenalty(remotePenalty);
     }
@@ -98,7 +100,7 @@
 
     private void subscribe(OwnedJob job, VmIncarnation vm, long link) {
         long downSinceMs = linkedVms.isCurrent(vm, link) ? 0 : board.now;
-        job.subscribers.put(vm, new OwnedJob.Subscription(link, downSinceMs));
+        job.subscribers.put(vm, new OwnedJob.Subscription(link, board.now, downSinceMs, board.now));
     }
 
     /** Updates a known job that another owner may have had in the meantime. */
@@ -175,6 +177,7 @@
             return;
         }
         job.subscribers.remove(from);
+        job.awaitedUntilMs = board.now;
         if (job.subscribers.isEmpty()) {
             endJob(job, "withdrawn");
         }
@@ -213,7 +216,7 @@
 
     private void markDisconnected(VmIncarnation vm, long sinceMs) {
         for (OwnedJob j : board.jobs.values()) {
-            j.subscribers.computeIfPresent(vm, (v, s) -> s.down(sinceMs));
+            j.subscribers.computeIfPresent(vm, (v, s) -> s.down(sinceMs, linkedVms.heardMs(v, s, board.now)));
         }
     }
 
@@ -234,7 +237,8 @@
             }
         });
         for (VmIncarnation vm : lost) {
-            job.subscribers.remove(vm);
+            OwnedJob.Subscription s = job.subscribers.remove(vm);
+            job.awaitedUntilMs = Math.max(job.awaitedUntilMs, linkedVms.heardMs(vm, s, board.now));
             // If the VM was only late, its callers must learn that the job does not go on.
             board.sendToEntry(
                     vm, new PoolMessage.JobFinished(job.spec.id(), new JobOutcome.Unknown("link interrupted")));
@@ -260,7 +264,6 @@
     private void stop(OwnedTask t) {
         t.job.set(t, OwnedTask.State.STOPPING);
         t.stopAccepted = false;
-        t.stopOrderedAtMs = board.now;
         t.stopSentAtMs = board.now;
         board.emit(new PoolEffect.Stop(t.endpoint.registration, board.token, t.run()));
     }
@@ -280,6 +283,7 @@
             board.sendToEntry(vm, new PoolMessage.JobFinished(job.spec.id(), outcome));
         }
         job.subscribers.clear();
+        job.awaitedUntilMs = board.now;
         outcomes.put(job.spec.id(), outcome, board.now);
     }
 
@@ -542,7 +546,7 @@
         t.startedAtMs = board.now;
         t.job.set(t, OwnedTask.State.STARTING);
         e.add(t);
-        long deadline = e.extendLease(board.now, LeaseLimit.leaseMs(e, board.now));
+        long deadline = e.extendLease(board.now, leaseLimit.leaseMs(e, board.now));
         t.startOrder = new PoolEffect.Start(e.registration, board.token, t.run(), t.job.spec.payload(), deadline);
         board.emit(t.startOrder);
     }
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseController.java
@@ -68,6 +68,7 @@
 
     private final PoolBoard board;
     private final LinkedVms linkedVms;
+    private final LeaseLimit leaseLimit;
     private final RunListener listener;
     private long nextConfirmationAtMs = Long.MIN_VALUE;
     private final Map<String, Unlisted> unlisted = new HashMap<>();
@@ -107,8 +108,9 @@
         void onFenced();
     }
 
-    LeaseController(PoolBoard board, LinkedVms linkedVms, RunListener listener) {
+    LeaseController(PoolBoard board, LinkedVms linkedVms, LeaseLimit leaseLimit, RunListener listener) {
         this.board = board;
+        this.leaseLimit = leaseLimit;
         this.linkedVms = linkedVms;
         this.listener = listener;
     }
@@ -247,7 +249,7 @@
 
     private void renew(LeasedEndpoint e, long waitMs) {
         // Runs that are not known or not awaited must expire: their callers may submit their jobs elsewhere.
-        long leaseMs = e.synced && e.isClockKnown() && !e.runs.isEmpty() ? LeaseLimit.leaseMs(e, board.now) : 0;
+        long leaseMs = e.synced && e.isClockKnown() && !e.runs.isEmpty() ? leaseLimit.leaseMs(e, board.now) : 0;
         long deadlineMs = leaseMs > 0 ? e.extendLease(board.now, leaseMs) : PoolEffect.RenewLeases.NO_DEADLINE;
         // After a failed call the endpoint may have restarted: the number would make it forget the ends of new runs.
         long acknowledged = e.unansweredCalls > 0 ? 0 : e.acknowledgedSequence;
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LinkedVms.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LinkedVms.java
@@ -101,6 +101,21 @@
                 .anyMatch(l -> l.zone().equals(zone) && board.now - l.atMs() < ZONE_OWNER_MAX_MS);
     }
 
+    /**
+     * Returns when an entry VM certainly waited for a job for the last time, in milliseconds: over its link it would have
+     * withdrawn the job before it acknowledged the next heartbeat.
+     */
+    long heardMs(VmIncarnation vm, OwnedJob.Subscription subscription, long now) {
+        Link current = links.get(vm);
+        if (vm.equals(board.self())) {
+            return now;
+        } else if (subscription.downSinceMs() > 0 || current == null || current.number() != subscription.link()) {
+            return Math.max(subscription.heardMs(), subscription.forwardedMs());
+        }
+        long heardMs = current.acknowledgesHeartbeats() ? current.acknowledgedMs() : now;
+        return Math.max(heardMs, subscription.forwardedMs());
+    }
+
     void onUp(VmIncarnation vm, long link, boolean acknowledgesHeartbeats) {
         losses.remove(vm.address());
         links.put(vm, new Link(link, board.now, acknowledgesHeartbeats, Long.MIN_VALUE));
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnedJob.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnedJob.java
@@ -20,6 +20,9 @@
     /** Entry VMs that wait for the job. */
     final Map<VmIncarnation, Subscription> subscribers = new HashMap<>();
 
+    /** Until when an entry VM waited for the job that is no subscriber any more, in milliseconds; at least its admission. */
+    long awaitedUntilMs;
+
     final long arrivedAtMs;
     /** Whether runs of it may exist that this owner did not start. */
     boolean resumed;
@@ -49,21 +52,26 @@
      * Interest of an entry VM in the job. It ends with the link, since a VM without a link cannot withdraw the job.
      *
      * @param link the number of the link over which the VM forwarded the job
+     * @param forwardedMs when the VM forwarded the job, in milliseconds
      * @param downSinceMs since when the link is down, in milliseconds, or 0 if it is up
+     * @param heardMs when the VM was last heard of before the link was lost, in milliseconds; of no meaning while it is up
      */
-    record Subscription(long link, long downSinceMs) {
+    record Subscription(long link, long forwardedMs, long downSinceMs, long heardMs) {
 
         Subscription up() {
-            return new Subscription(link, 0);
+            return new Subscription(link, forwardedMs, 0, heardMs);
         }
 
-        Subscription down(long sinceMs) {
-            return new Subscription(link, downSinceMs == 0 ? sinceMs : Math.min(downSinceMs, sinceMs));
+        Subscription down(long sinceMs, long lastHeardMs) {
+            return downSinceMs == 0
+                    ? new Subscription(link, forwardedMs, sinceMs, lastHeardMs)
+                    : new Subscription(link, forwardedMs, Math.min(downSinceMs, sinceMs), heardMs);
         }
     }
 
     OwnedJob(PoolJob spec, long arrivedAtMs, boolean resumed, long now) {
         this.resumedAtMs = now;
+        this.awaitedUntilMs = now;
         this.spec = spec;
         this.arrivedAtMs = arrivedAtMs;
         this.resumed = resumed;
@@ -73,18 +81,6 @@
         }
     }
 
-    /** Returns since when the links of all entry VMs that wait for the job are down, in milliseconds, or 0 if one is up. */
-    long abandonedSinceMs() {
-        long sinceMs = 0;
-        for (Subscription s : subscribers.values()) {
-            if (s.downSinceMs() == 0) {
-                return 0;
-            }
-            sinceMs = Math.max(sinceMs, s.downSinceMs());
-        }
-        return sinceMs;
-    }
-
     /** Changes the state of a task and updates the counts of tasks by state. */
     void set(OwnedTask task, OwnedTask.State state) {
         count(task, -1);
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnedTask.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnedTask.java
@@ -45,9 +45,6 @@
     long confirmedAtMs;
 
     boolean stopAccepted;
-    /** When the stop of the present run was first ordered, in milliseconds. */
-    long stopOrderedAtMs;
-
     long stopSentAtMs;
     /** The endpoint's clock when it first listed the run, in milliseconds; 0 if it has not. */
     long firstListedClockMs;
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PlacementPlanner.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PlacementPlanner.java
@@ -28,6 +28,7 @@
     private final DurationEstimator durations;
     private final JobOrder order;
     private final boolean dropsLate;
+    private final LeaseLimit leaseLimit;
     private final OfferedLoad offered = new OfferedLoad();
     private double capacity = Double.MAX_VALUE;
 
@@ -41,7 +42,8 @@
         void place(Placement place);
     }
 
-    PlacementPlanner(DurationEstimator durations, JobOrder order, boolean dropsLate) {
+    PlacementPlanner(DurationEstimator durations, LeaseLimit leaseLimit, JobOrder order, boolean dropsLate) {
+        this.leaseLimit = leaseLimit;
         this.dropsLate = dropsLate;
         this.durations = durations;
         this.order = order;
@@ -141,7 +143,7 @@
         }
         List<LeasedEndpoint> usable = new ArrayList<>();
         for (LeasedEndpoint e : endpoints) {
-            if (e.freeMilliCores() >= smallest && e.isUsable(now) && LeaseLimit.allowsStart(e, now)) {
+            if (e.freeMilliCores() >= smallest && e.isUsable(now) && leaseLimit.allowsStart(e, now)) {
                 usable.add(e);
             }
         }
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
@@ -140,9 +140,9 @@
 
     private void onEntryLinkDown(PoolEvent.EntryLinkDown e) {
         if (linkedVms.isCurrent(e.vm(), e.link())) {
+            jobs.onEntryLinkDown(e.vm(), e.link());
             linkedVms.onDown(e.vm());
             successorsChanged = true;
-            jobs.onEntryLinkDown(e.vm(), e.link());
         }
     }
 
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/internal/pool/LeaseControllerTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/internal/pool/LeaseControllerTest.java
@@ -40,7 +40,8 @@
         board.role = OwnerRole.OWNER;
         board.token = 7;
         listener = new RecordingListener();
-        leases = new LeaseController(board, new LinkedVms(board), listener);
+        LinkedVms linkedVms = new LinkedVms(board);
+        leases = new LeaseController(board, linkedVms, new LeaseLimit(linkedVms), listener);
         leases.onEndpointsRead(new PoolEvent.EndpointsRead(List.of(ENDPOINT), 1_000));
         leases.onOwnershipBegan();
         leases.onTick();
