--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/EffectPerformer.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/EffectPerformer.java
@@ -117,7 +117,7 @@
         } else if (effect instanceof PoolEffect.SendToEntry s) {
             clients.entries().send(s);
         } else if (effect instanceof PoolEffect.LinkOwner l) {
-            linkOwner(l.peer());
+            linkOwner(l);
         } else if (effect instanceof PoolEffect.PollEndpoints p) {
             clients.endpointList().setOwner(p.owner());
         } else if (effect instanceof PoolEffect.ReadOwnership) {
@@ -224,10 +224,11 @@
         });
     }
 
-    private void linkOwner(String peer) {
+    private void linkOwner(PoolEffect.LinkOwner effect) {
         close();
-        if (!peer.isEmpty()) {
-            link = new OwnerLink(self, peer, clients.group().next(), events);
+        if (!effect.peer().isEmpty()) {
+            link = new OwnerLink(
+                    self, effect.peer(), effect.link(), clients.group().next(), events);
         }
     }
 
--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/OwnerLink.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/OwnerLink.java
@@ -27,7 +27,7 @@
 /**
  * Keeps a stream to the owner of the pool open: a failed or silent stream is replaced until the link is closed.
  *
- * <p>The state is accessed only on one event loop.
+ * <p>The state is accessed only on one event loop, except that any thread may close the link.
  */
 final class OwnerLink {
 
@@ -58,18 +58,21 @@
 
     private final VmIncarnation self;
     private final String peer;
+    private final long number;
     private final HostPort address;
     private final EventLoop loop;
     private final Consumer<PoolEvent> events;
     private final LoopCheck silenceCheck;
     private Attempt attempt;
-    private boolean closed;
+    /** Set at once by the thread that closes the link, so that the loop reports nothing of what it reads later. */
+    private volatile boolean closed;
     /** Whether a message was sent since the last check, so that no keep-alive message is needed. */
     private boolean sentSinceCheck;
 
-    OwnerLink(VmIncarnation self, String peer, EventLoop loop, Consumer<PoolEvent> events) {
+    OwnerLink(VmIncarnation self, String peer, long number, EventLoop loop, Consumer<PoolEvent> events) {
         this.self = self;
         this.peer = peer;
+        this.number = number;
         this.address = HostPort.parse(peer);
         this.loop = loop;
         this.events = events;
@@ -92,9 +95,14 @@
         });
     }
 
+    /**
+     * Closes the link. An event that the loop is publishing at this moment may still follow; the core knows by its number that
+     * the link was closed.
+     */
     void close() {
+        // No lock: the loop may wait for room in the core's ring, and the core's thread closes links.
+        closed = true;
         loop.execute(() -> {
-            closed = true;
             silenceCheck.close();
             if (attempt != null) {
                 attempt.close();
@@ -136,10 +144,16 @@
         }
         attempt = null;
         failed.close();
-        events.accept(new PoolEvent.OwnerLinkDown(peer, refused));
+        report(new PoolEvent.OwnerLinkDown(peer, number, refused));
         loop.schedule(this::connect, RECONNECT_DELAY_MS, TimeUnit.MILLISECONDS);
     }
 
+    private void report(PoolEvent event) {
+        if (!closed) {
+            events.accept(event);
+        }
+    }
+
     /** One connection with one stream; it is not reopened after a failure. */
     private final class Attempt implements ClientResponseObserver<ToOwnerProto, ToEntryProto> {
 
@@ -202,9 +216,10 @@
             lastReceivedNanos = System.nanoTime();
             if (message.getWelcome()) {
                 welcomed = true;
-                events.accept(new PoolEvent.OwnerLinkUp(peer));
+                report(new PoolEvent.OwnerLinkUp(peer, number));
             }
-            PoolMessageCodec.decode(message).ifPresent(m -> events.accept(new PoolEvent.OwnerMessageReceived(peer, m)));
+            PoolMessageCodec.decode(message)
+                    .ifPresent(m -> report(new PoolEvent.OwnerMessageReceived(peer, number, m)));
         }
 
         @Override
--- a/org.gooseberrypier.server/src/test/java/org/gooseberrypier/server/pool/EffectPerformerTest.java
+++ b/org.gooseberrypier.server/src/test/java/org/gooseberrypier/server/pool/EffectPerformerTest.java
@@ -198,7 +198,7 @@
     public void failuresOfEffectsWithoutResultDoNotThrow(boolean thrown) {
         EffectPerformer p = performer(thrown);
         p.perform(new PoolEffect.ReadOwnership());
-        p.perform(new PoolEffect.LinkOwner("not an address"));
+        p.perform(new PoolEffect.LinkOwner("not an address", 1));
         p.perform(new PoolEffect.SendToOwner(new PoolMessage.WithdrawJob("job")));
         p.perform(new PoolEffect.SendToEntry(SELF, new PoolMessage.NotOwner(1)));
     }
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnershipController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnershipController.java
@@ -101,6 +101,8 @@
     private String zoneOwnerAddress = "";
     private long nextHeartbeatAtMs;
     private int zoneTokenRound;
+    /** The number of the latest {@link PoolEffect.LinkOwner}. */
+    private long link;
 
     OwnershipController(PoolBoard board) {
         this.board = board;
@@ -150,7 +152,7 @@
         if (mine) {
             becomeOwner(OwnerRole.OWNER, ownership.token());
         } else if (board.role == OwnerRole.ZONE_OWNER) {
-            board.emit(new PoolEffect.LinkOwner(ownership.owner().address()));
+            openLink(ownership.owner().address());
         } else if (!followsZoneOwner()
                 && !board.linkedOwner.equals(ownership.owner().address())) {
             follow(ownership.owner().address());
@@ -184,7 +186,7 @@
         nextHeartbeatAtMs = 0;
         // A zone owner keeps trying to reach the owner of the pool.
         String poolOwner = role == OwnerRole.ZONE_OWNER ? ownerAddress() : "";
-        board.emit(new PoolEffect.LinkOwner(poolOwner));
+        openLink(poolOwner);
         if (!wasOwner) {
             board.emit(new PoolEffect.PollEndpoints(true));
         }
@@ -209,10 +211,24 @@
         wasLinked = false;
         // An earlier incarnation of this VM cannot answer.
         setLinkRefused(address.equals(board.self().address()));
-        board.emit(new PoolEffect.LinkOwner(linkRefused ? "" : address));
+        openLink(linkRefused ? "" : address);
+    }
+
+    /** Closes the link to the owner and opens one to the given address, or none if it is empty. */
+    private void openLink(String address) {
+        link++;
+        board.emit(new PoolEffect.LinkOwner(address, link));
+    }
+
+    /** Returns whether a link to the owner has not been closed; events of one that has been may be under way. */
+    boolean isCurrentLink(long number) {
+        return number == link;
     }
 
     void onOwnerLinkUp(PoolEvent.OwnerLinkUp event) {
+        if (!isCurrentLink(event.link())) {
+            return;
+        }
         if (board.role == OwnerRole.ZONE_OWNER && event.peer().equals(ownerAddress())) {
             board.log("event=owner_ended token=" + board.token + " successor=" + event.peer());
             board.emit(new PoolEffect.PollEndpoints(false));
@@ -227,7 +243,7 @@
     }
 
     void onOwnerLinkDown(PoolEvent.OwnerLinkDown event) {
-        if (!event.peer().equals(followedAddress) || board.isOwner()) {
+        if (!isCurrentLink(event.link()) || !event.peer().equals(followedAddress) || board.isOwner()) {
             return;
         }
         if (!board.linkedOwner.isEmpty()) {
@@ -406,7 +422,7 @@
         } else {
             followedAddress = next.address();
             zoneOwnerAddress = followedAddress;
-            board.emit(new PoolEffect.LinkOwner(followedAddress));
+            openLink(followedAddress);
         }
     }
 
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
@@ -157,9 +157,11 @@
 
     private void onOwnerMessage(PoolEvent.OwnerMessageReceived e) {
         if (e.message() instanceof PoolMessage.JobNotAdmitted) {
-            // Several of them may follow the first NotOwner, by which the link has ended.
+            // Several of them may follow the first NotOwner, by which the link has ended; they count over any link,
+            // since
+            // the message is true of the forward whatever became of the link.
             entry.onMessage(e.message());
-        } else if (e.peer().equals(board.linkedOwner)) {
+        } else if (ownership.isCurrentLink(e.link()) && e.peer().equals(board.linkedOwner)) {
             ownership.onOwnerMessage(e.message());
             entry.onMessage(e.message());
             if (e.message() instanceof PoolMessage.Heartbeat h) {
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/PoolEffect.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/PoolEffect.java
@@ -27,8 +27,10 @@
      * Opens and maintains a link to the owner, and closes a link to any other VM.
      *
      * @param peer the address of the owner, or an empty text for no link
+     * @param link the number of the link, greater than those of earlier links; it stays the same when a lost connection is
+     *     replaced
      */
-    record LinkOwner(String peer) implements PoolEffect {}
+    record LinkOwner(String peer, long link) implements PoolEffect {}
 
     /**
      * Sends a message over the link to the owner.
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/PoolEvent.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/PoolEvent.java
@@ -52,24 +52,28 @@
      * The link to a peer that may be the owner is up.
      *
      * @param peer the address of the peer
+     * @param link the number of the {@link PoolEffect.LinkOwner} that opened the link; events of a link that was closed since
+     *     then may still come
      */
-    record OwnerLinkUp(String peer) implements PoolEvent {}
+    record OwnerLinkUp(String peer, long link) implements PoolEvent {}
 
     /**
      * The link to a peer was lost or could not be opened.
      *
      * @param peer the address of the peer
+     * @param link the number of the {@link PoolEffect.LinkOwner} that opened the link
      * @param refused whether the connection was refused, since no process listens at the address
      */
-    record OwnerLinkDown(String peer, boolean refused) implements PoolEvent {}
+    record OwnerLinkDown(String peer, long link, boolean refused) implements PoolEvent {}
 
     /**
      * A message from the owner was received.
      *
      * @param peer the address of the sender
+     * @param link the number of the {@link PoolEffect.LinkOwner} that opened the link over which it was sent
      * @param message the message
      */
-    record OwnerMessageReceived(String peer, PoolMessage.ToEntry message) implements PoolEvent {}
+    record OwnerMessageReceived(String peer, long link, PoolMessage.ToEntry message) implements PoolEvent {}
 
     /**
      * A {@link PoolEffect.CheckCallers} has ended: all callers that had disconnected before it have been reported.
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/JobNotAdmittedTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/JobNotAdmittedTest.java
@@ -37,11 +37,25 @@
 
     private void link() {
         nowMs += 10;
-        core.handle(new PoolEvent.OwnerLinkUp(OLD_OWNER.address()), nowMs);
+        core.handle(new PoolEvent.OwnerLinkUp(OLD_OWNER.address(), currentLink()), nowMs);
+    }
+
+    private long currentLink() {
+        long link = 0;
+        for (PoolEffect e : effects) {
+            if (e instanceof PoolEffect.LinkOwner l) {
+                link = l.link();
+            }
+        }
+        return link;
     }
 
     private void receive(PoolMessage.ToEntry message) {
-        core.handle(new PoolEvent.OwnerMessageReceived(OLD_OWNER.address(), message), ++nowMs);
+        receive(currentLink(), message);
+    }
+
+    private void receive(long link, PoolMessage.ToEntry message) {
+        core.handle(new PoolEvent.OwnerMessageReceived(OLD_OWNER.address(), link, message), ++nowMs);
     }
 
     private void submit(long call, String job) {
@@ -64,10 +78,11 @@
     public void jobsThatWereNotAdmittedAreNewToTheOwner() {
         submit(1, "job-1");
         submit(2, "job-2");
-        receive(new PoolMessage.JobNotAdmitted("job-1"));
-        receive(new PoolMessage.NotOwner(0));
-        receive(new PoolMessage.JobNotAdmitted("job-2"));
-        receive(new PoolMessage.NotOwner(0));
+        long link = currentLink();
+        receive(link, new PoolMessage.JobNotAdmitted("job-1"));
+        receive(link, new PoolMessage.NotOwner(0));
+        receive(link, new PoolMessage.JobNotAdmitted("job-2"));
+        receive(link, new PoolMessage.NotOwner(0));
         link();
         assertEquals(earlierOwnersOf("job-1"), List.of(0, 0));
         assertEquals(earlierOwnersOf("job-2"), List.of(0, 0));
@@ -84,9 +99,10 @@
     @Test
     public void anAnswerThatArrivesAfterTheNextForwardDoesNotHideThatForward() {
         submit(1, "job-1");
+        long earlier = currentLink();
         receive(new PoolMessage.NotOwner(0));
         link();
-        receive(new PoolMessage.JobNotAdmitted("job-1"));
+        receive(earlier, new PoolMessage.JobNotAdmitted("job-1"));
         receive(new PoolMessage.NotOwner(0));
         link();
         assertEquals(earlierOwnersOf("job-1"), List.of(0, 1, 1));
@@ -96,7 +112,7 @@
     public void jobsThatNoOwnerAdmittedAreRefusedAsNotRun() {
         submit(1, "job-1");
         receive(new PoolMessage.JobNotAdmitted("job-1"));
-        core.handle(new PoolEvent.OwnerLinkDown(OLD_OWNER.address(), false), nowMs);
+        core.handle(new PoolEvent.OwnerLinkDown(OLD_OWNER.address(), currentLink(), false), nowMs);
         for (int i = 0; i < 40; i++) {
             nowMs += 40;
             core.handle(new PoolEvent.Tick(), nowMs);
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolSimulation.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolSimulation.java
@@ -277,7 +277,7 @@
         } else if (effect instanceof PoolEffect.CheckCallers c) {
             deliver(vm, 20, new PoolEvent.CallersChecked(c.requestedAtMs()));
         } else if (effect instanceof PoolEffect.LinkOwner l) {
-            links.link(vm, l.peer());
+            links.link(vm, l);
         } else if (effect instanceof PoolEffect.SendToOwner s) {
             links.sendToOwner(vm, s.message());
         } else if (effect instanceof PoolEffect.SendToEntry s) {
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedLink.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedLink.java
@@ -4,6 +4,9 @@
 final class SimulatedLink {
 
     final long number;
+    /** The number by which the core of the VM knows the link. */
+    private final long ownerLink;
+
     final SimulatedVm vm;
     final long vmStartNumber;
     final VmIncarnation contact;
@@ -15,6 +18,7 @@
 
     SimulatedLink(long number, SimulatedVm vm, SimulatedVm peer, long openedAtMs) {
         this.number = number;
+        this.ownerLink = vm.linkNumber;
         this.vm = vm;
         this.openedAtMs = openedAtMs;
         this.vmStartNumber = vm.startNumber();
@@ -23,6 +27,11 @@
         this.peerStartNumber = peer.startNumber();
     }
 
+    /** Returns the effect by which the VM opened the link. */
+    PoolEffect.LinkOwner opened() {
+        return new PoolEffect.LinkOwner(target(), ownerLink);
+    }
+
     String target() {
         return peer.contact.address();
     }
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedLinks.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedLinks.java
@@ -23,15 +23,16 @@
     }
 
     /** Closes the link of a VM and opens one to the given address, or none if it is empty. */
-    void link(SimulatedVm vm, String address) {
+    void link(SimulatedVm vm, PoolEffect.LinkOwner effect) {
         SimulatedLink old = vm.link;
         vm.link = null;
         if (old != null) {
             closeAtPeer(old);
         }
-        vm.linkTarget = address;
-        if (!address.isEmpty()) {
-            connect(vm, vm.startNumber(), address);
+        vm.linkTarget = effect.peer();
+        vm.linkNumber = effect.link();
+        if (!effect.peer().isEmpty()) {
+            connect(vm, vm.startNumber(), effect);
         }
     }
 
@@ -76,36 +77,37 @@
         });
     }
 
-    private void connect(SimulatedVm vm, long startNumber, String target) {
-        if (!vm.isCurrentStart(startNumber) || !vm.linkTarget.equals(target) || vm.link != null) {
+    private void connect(SimulatedVm vm, long startNumber, PoolEffect.LinkOwner effect) {
+        if (!vm.isCurrentStart(startNumber) || vm.linkNumber != effect.link() || vm.link != null) {
             return;
         }
+        String target = effect.peer();
         SimulatedVm peer = simulation.byAddress(target);
         boolean cut = simulation.isCut(vm.contact.address(), target);
         if (peer.alive && !cut && !peer.frozen && !vm.frozen) {
             SimulatedLink link = new SimulatedLink(++lastNumber, vm, peer, simulation.nowMs());
             vm.link = link;
-            simulation.deliver(vm, 1, new PoolEvent.OwnerLinkDown(target, false));
+            simulation.deliver(vm, 1, new PoolEvent.OwnerLinkDown(target, effect.link(), false));
             simulation.after(1, () -> attach(link));
-            simulation.deliver(vm, 2, new PoolEvent.OwnerLinkUp(target));
+            simulation.deliver(vm, 2, new PoolEvent.OwnerLinkUp(target, effect.link()));
             watch(link);
         } else {
-            reportLoss(vm, startNumber, target, peer.alive || cut ? LINK_TIMEOUT_MS : 2, !peer.alive && !cut);
-            reconnectLater(vm, startNumber, target);
+            reportLoss(vm, startNumber, effect, peer.alive || cut ? LINK_TIMEOUT_MS : 2, !peer.alive && !cut);
+            reconnectLater(vm, startNumber, effect);
         }
     }
 
     /** Reports a link as down to the VM that opened it, unless it has come up again before the loss is detected. */
-    private void reportLoss(SimulatedVm vm, long startNumber, String target, long ms, boolean refused) {
+    private void reportLoss(SimulatedVm vm, long startNumber, PoolEffect.LinkOwner effect, long ms, boolean refused) {
         simulation.after(ms, () -> {
-            if (vm.link == null || !vm.linkTarget.equals(target)) {
-                vm.deliver(startNumber, new PoolEvent.OwnerLinkDown(target, refused));
+            if (vm.link == null || vm.linkNumber != effect.link()) {
+                vm.deliver(startNumber, new PoolEvent.OwnerLinkDown(effect.peer(), effect.link(), refused));
             }
         });
     }
 
-    private void reconnectLater(SimulatedVm vm, long startNumber, String target) {
-        simulation.after(RECONNECT_DELAY_MS, () -> connect(vm, startNumber, target));
+    private void reconnectLater(SimulatedVm vm, long startNumber, PoolEffect.LinkOwner effect) {
+        simulation.after(RECONNECT_DELAY_MS, () -> connect(vm, startNumber, effect));
     }
 
     /** Closes a link on which no data passes for a while. */
@@ -116,10 +118,10 @@
             }
             if (isCut(link) || link.peer.frozen || link.vm.frozen) {
                 link.vm.link = null;
-                reportLoss(link.vm, link.vmStartNumber, link.target(), LINK_TIMEOUT_MS, false);
+                reportLoss(link.vm, link.vmStartNumber, link.opened(), LINK_TIMEOUT_MS, false);
                 // The two ends may detect the silence at different times, since one direction may fail later.
                 simulation.after(LINK_TIMEOUT_MS + random.nextInt(LINK_TIMEOUT_MS), () -> detectLoss(link));
-                reconnectLater(link.vm, link.vmStartNumber, link.target());
+                reconnectLater(link.vm, link.vmStartNumber, link.opened());
             } else {
                 watch(link);
             }
@@ -148,8 +150,10 @@
             simulation.after(SILENCE_CHECK_DELAY_MS, () -> closeSilent(link));
         } else if (isOpenAtVm(link)) {
             link.vm.link = null;
-            link.vm.deliver(link.vmStartNumber, new PoolEvent.OwnerLinkDown(link.target(), false));
-            reconnectLater(link.vm, link.vmStartNumber, link.target());
+            link.vm.deliver(
+                    link.vmStartNumber,
+                    new PoolEvent.OwnerLinkDown(link.target(), link.opened().link(), false));
+            reconnectLater(link.vm, link.vmStartNumber, link.opened());
         }
     }
 
@@ -157,9 +161,10 @@
     void onKilled(SimulatedVm vm) {
         for (SimulatedVm other : simulation.vms) {
             if (other.alive && other.link != null && other.link.peer == vm) {
+                PoolEffect.LinkOwner opened = other.link.opened();
                 other.link = null;
-                simulation.deliver(other, 2, new PoolEvent.OwnerLinkDown(vm.contact.address(), false));
-                reconnectLater(other, other.startNumber(), vm.contact.address());
+                simulation.deliver(other, 2, new PoolEvent.OwnerLinkDown(opened.peer(), opened.link(), false));
+                reconnectLater(other, other.startNumber(), opened);
             }
             SimulatedLink accepted = other.entryLinks.get(vm.contact);
             if (other.alive && accepted != null) {
@@ -179,7 +184,10 @@
         SimulatedLink link = from.entryLinks.get(effect.vm());
         if (link != null && isOpenAtVm(link) && !link.silent && !isCut(link)) {
             simulation.deliver(
-                    link.vm, 2, new PoolEvent.OwnerMessageReceived(from.contact.address(), effect.message()));
+                    link.vm,
+                    2,
+                    new PoolEvent.OwnerMessageReceived(
+                            from.contact.address(), link.opened().link(), effect.message()));
         }
     }
 
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedVm.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedVm.java
@@ -17,6 +17,8 @@
     boolean alive;
     boolean frozen;
     String linkTarget = "";
+    /** The number by which the core knows the link to the target. */
+    long linkNumber;
     /** The link to the owner as this VM knows it, or null. */
     SimulatedLink link;
 
@@ -44,6 +46,7 @@
         link = null;
         entryLinks.clear();
         linkTarget = "";
+        linkNumber = 0;
         delayed.clear();
         contact = new VmIncarnation("vm-" + index, "zone-" + index % 3, incarnation, milliCores);
         core = new PoolCore(contact, 3, clockMs(), e -> simulation.perform(this, e));
