--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
@@ -158,9 +158,9 @@
 
     private void onOwnerMessage(PoolEvent.OwnerMessageReceived e) {
         if (e.message() instanceof PoolMessage.JobNotAdmitted) {
-            // Several of them may follow the first NotOwner, by which the link has ended.
+            // Several of them may follow the first NotOwner, by which the link has ended; each is true of its forward.
             entry.onMessage(e.message());
-        } else if (e.peer().equals(board.linkedOwner)) {
+        } else if (ownership.isCurrentLink(e.link()) && e.peer().equals(board.linkedOwner)) {
             ownership.onOwnerMessage(e.message());
             entry.onMessage(e.message());
             if (e.message() instanceof PoolMessage.Heartbeat h) {
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedLink.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedLink.java
@@ -7,6 +7,9 @@
 final class SimulatedLink {
 
     final long number;
+    /** The number by which the core of the VM knows the link. */
+    private final long ownerLink;
+
     final SimulatedVm vm;
     final long vmStartNumber;
     final VmIncarnation contact;
@@ -22,6 +25,7 @@
 
     SimulatedLink(long number, SimulatedVm vm, SimulatedVm peer, long openedAtMs) {
         this.number = number;
+        this.ownerLink = vm.linkNumber;
         this.vm = vm;
         this.openedAtMs = openedAtMs;
         this.vmStartNumber = vm.startNumber();
@@ -30,6 +34,11 @@
         this.peerStartNumber = peer.startNumber();
     }
 
+    /** Returns the effect by which the VM opened the link. */
+    PoolEffect.LinkOwner opened() {
+        return new PoolEffect.LinkOwner(target(), ownerLink);
+    }
+
     String target() {
         return peer.contact.address();
     }
