--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
@@ -34,6 +34,12 @@
      */
     private static final long CONFIRMATION_TIMEOUT_MS = 150;
 
+    /**
+     * Time after which the jobs of a VM that acknowledges no heartbeat are stopped, in milliseconds. It leaves time for the
+     * stops before {@link LeaseLimit} lets the leases of their endpoints expire, which end the runs of other VMs too.
+     */
+    private static final long MAX_UNHEARD_MS = 900;
+
     /** Delay before a stop order that was not accepted is sent again, in milliseconds. */
     private static final long STOP_RETRY_DELAY_MS = 250;
 
@@ -176,8 +182,9 @@
             }
             return;
         }
-        job.subscribers.remove(from);
-        job.awaitedUntilMs = board.now;
+        OwnedJob.Subscription s = job.subscribers.remove(from);
+        long awaitedUntilMs = s == null ? board.now : linkedVms.heardMs(from, s, board.now);
+        job.awaitedUntilMs = Math.max(job.awaitedUntilMs, awaitedUntilMs);
         if (job.subscribers.isEmpty()) {
             endJob(job, "withdrawn");
         }
@@ -232,7 +239,8 @@
     private void removeDisconnected(OwnedJob job) {
         List<VmIncarnation> lost = new ArrayList<>();
         job.subscribers.forEach((vm, s) -> {
-            if (s.downSinceMs() > 0 && board.now - s.downSinceMs() > ENTRY_RECONNECT_TIMEOUT_MS) {
+            boolean down = s.downSinceMs() > 0 && board.now - s.downSinceMs() > ENTRY_RECONNECT_TIMEOUT_MS;
+            if (down || board.now - linkedVms.heardMs(vm, s, board.now) > MAX_UNHEARD_MS) {
                 lost.add(vm);
             }
         });
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseController.java
@@ -215,6 +215,9 @@
         for (LeasedEndpoint e : new ArrayList<>(board.endpoints.values())) {
             if (!e.renewing && board.now >= e.nextRenewalAtMs) {
                 renew(e);
+            } else if (needsLease(e)) {
+                e.probing = true;
+                renew(e, 0);
             }
             if (!e.runs.isEmpty() && e.isLeaseExpired(board.now)) {
                 expireLeases(e);
@@ -223,13 +226,27 @@
         }
     }
 
+    /**
+     * Returns whether the lease runs out before the next renewal would be sent, and a longer one may be granted. Load pattern: a
+     * lease was cut short for a run that has ended since, or by a pause of this VM, while a renewal waits for an end.
+     */
+    private boolean needsLease(LeasedEndpoint e) {
+        boolean open = e.renewing && !e.probing && e.synced && !e.fenced && e.isClockKnown();
+        long leftMs = e.leaseLeftMs(board.now);
+        return open
+                && !e.runs.isEmpty()
+                && leftMs >= 0
+                && leftMs < RENEWAL_WAIT_MS
+                && leaseLimit.leaseMs(e, board.now) > RENEWAL_WAIT_MS;
+    }
+
     private void renew(LeasedEndpoint e) {
         boolean idle = e.runs.isEmpty() && e.orphanRuns.isEmpty();
         if (!e.registered && idle && board.now > e.pollUntilMs) {
             return;
         }
         e.renewing = true;
-        renew(e, e.synced && !e.fenced ? RENEWAL_WAIT_MS : 0);
+        renew(e, e.synced && !e.fenced && e.unansweredCalls == 0 ? RENEWAL_WAIT_MS : 0);
     }
 
     /**
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseLimit.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseLimit.java
@@ -5,7 +5,7 @@
 import org.gooseberrypier.pool.VmIncarnation;
 
 /**
- * Limits the leases at an endpoint while a run is there for which nobody certainly waits.
+ * Limits the leases at an endpoint that does not answer, and while a run is there for which nobody certainly waits.
  *
  * <p>A lease holds for everything that runs at an endpoint, so that renewals for one run keep all others alive. A caller that
  * leaves its VM, or whose VM is lost, submits its job again 1.3 s later, possibly to a VM that follows another owner and cannot
@@ -20,6 +20,13 @@
      */
     private static final long MAX_AFTER_AWAITED_MS = 1_200;
 
+    /**
+     * Time after the latest answered call for which leases are granted, in milliseconds. A call that is not answered may have
+     * arrived, so that runs of an endpoint that is lost for good are over only after the last lease that was sent to it. One call
+     * may be lost without that.
+     */
+    private static final long MAX_AFTER_ANSWER_MS = 1_300;
+
     /** Shortest lease for which a run is started, in milliseconds; the next renewal extends it. */
     private static final long MIN_START_MS = 300;
 
@@ -31,6 +38,9 @@
 
     /** Returns how long a lease may last that is granted at an endpoint now, in milliseconds; 0 for none. */
     long leaseMs(LeasedEndpoint e, long now) {
+        if (e.lastAnsweredCallSentAtMs < now - MAX_AFTER_ANSWER_MS) {
+            return 0;
+        }
         long endMs = now + LeaseController.LEASE_MS;
         for (LeasedEndpoint.Orphan o : e.orphanRuns.values()) {
             endMs = Math.min(endMs, o.listedSinceMs() + LeaseController.LEASE_MS);
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeasedEndpoint.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeasedEndpoint.java
@@ -95,6 +95,11 @@
         return deadline;
     }
 
+    /** Returns for how long the lease that this owner granted certainly lasts, in milliseconds; negative if it has expired. */
+    long leaseLeftMs(long now) {
+        return leaseDeadlineMs == PoolEffect.RenewLeases.NO_DEADLINE ? -1 : leaseDeadlineMs - clockOffsetMs - now;
+    }
+
     /** Returns whether all leases that this owner granted have certainly expired. */
     boolean isLeaseExpired(long now) {
         if (leaseDeadlineMs == PoolEffect.RenewLeases.NO_DEADLINE) {
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LinkedVms.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LinkedVms.java
@@ -47,6 +47,8 @@
     private long pausedUntilMs = Long.MIN_VALUE;
 
     private boolean ownCallersUnconfirmed;
+    /** When the last pause of this VM began, in milliseconds; its own callers may have left since then. */
+    private long pausedSinceMs = Long.MIN_VALUE / 2;
 
     /**
      * Link of an entry VM.
@@ -54,16 +56,19 @@
      * @param number the number of the link
      * @param upSinceMs when the link came up, in milliseconds
      * @param acknowledgesHeartbeats whether the VM acknowledges heartbeats; VMs of earlier versions do not
-     * @param acknowledgedMs when the latest acknowledged heartbeat was sent, in milliseconds, or {@link Long#MIN_VALUE}
+     * @param acknowledgedMs when the latest heartbeat was sent that was acknowledged since the last pause of this VM, in
+     *     milliseconds, or {@link Long#MIN_VALUE}
+     * @param heardMs when the latest acknowledged heartbeat was sent, in milliseconds
      */
-    private record Link(long number, long upSinceMs, boolean acknowledgesHeartbeats, long acknowledgedMs) {
+    private record Link(
+            long number, long upSinceMs, boolean acknowledgesHeartbeats, long acknowledgedMs, long heardMs) {
 
         Link acknowledged(long sentAtMs) {
-            return new Link(number, upSinceMs, true, Math.max(acknowledgedMs, sentAtMs));
+            return new Link(number, upSinceMs, true, Math.max(acknowledgedMs, sentAtMs), Math.max(heardMs, sentAtMs));
         }
 
         Link unacknowledged() {
-            return new Link(number, upSinceMs, acknowledgesHeartbeats, Long.MIN_VALUE);
+            return new Link(number, upSinceMs, acknowledgesHeartbeats, Long.MIN_VALUE, heardMs);
         }
     }
 
@@ -108,17 +113,17 @@
     long heardMs(VmIncarnation vm, OwnedJob.Subscription subscription, long now) {
         Link current = links.get(vm);
         if (vm.equals(board.self())) {
-            return now;
+            return ownCallersUnconfirmed ? pausedSinceMs : now;
         } else if (subscription.downSinceMs() > 0 || current == null || current.number() != subscription.link()) {
             return Math.max(subscription.heardMs(), subscription.forwardedMs());
         }
-        long heardMs = current.acknowledgesHeartbeats() ? current.acknowledgedMs() : now;
+        long heardMs = current.acknowledgesHeartbeats() ? current.heardMs() : now;
         return Math.max(heardMs, subscription.forwardedMs());
     }
 
     void onUp(VmIncarnation vm, long link, boolean acknowledgesHeartbeats) {
         losses.remove(vm.address());
-        links.put(vm, new Link(link, board.now, acknowledgesHeartbeats, Long.MIN_VALUE));
+        links.put(vm, new Link(link, board.now, acknowledgesHeartbeats, Long.MIN_VALUE, board.now));
         unconfirmed.remove(vm);
     }
 
@@ -154,9 +159,11 @@
      * Discards all acknowledgements after a pause of this VM, and requests that the disconnects of its own callers during
      * the pause are reported.
      *
+     * @param sinceMs when the pause began, in milliseconds
      * @return the VMs whose links may have been lost during the pause
      */
-    Set<VmIncarnation> onPause() {
+    Set<VmIncarnation> onPause(long sinceMs) {
+        pausedSinceMs = ownCallersUnconfirmed ? pausedSinceMs : sinceMs;
         pausedUntilMs = board.now;
         links.replaceAll((vm, l) -> l.unacknowledged());
         links.forEach((vm, l) -> {
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
@@ -84,7 +84,7 @@
     private void onPause(long silentMs) {
         board.log("event=pause_detected owner=" + board.isOwner() + " since_last_event_ms=" + silentMs);
         ownership.onPauseDetected();
-        linkedVms.onPause().forEach(jobs::onEntryLinkUnconfirmed);
+        linkedVms.onPause(board.now - silentMs).forEach(jobs::onEntryLinkUnconfirmed);
     }
 
     private void dispatch(PoolEvent event) {
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/internal/pool/LeaseControllerTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/internal/pool/LeaseControllerTest.java
@@ -219,6 +219,27 @@
         }
     }
 
+    /** Guards against jobs that are never answered: an endpoint that is lost for good answers no renewal. */
+    @Test
+    public void runsOfAnEndpointThatNoLongerAnswersAreOverAfterTheLastLeaseThatMayHaveArrived() {
+        answer(lastRenewal(), 90_000, 1);
+        OwnedTask task = runningTask("job-1", board.now);
+        task.job.awaitedUntilMs = Long.MAX_VALUE / 4;
+        long answeredMs = board.now;
+        while (listener.lost.isEmpty() && board.now < answeredMs + 10_000) {
+            PoolEffect.RenewLeases open = lastRenewal();
+            board.now += open.waitMs() + 300;
+            leases.onLeaseRenewalEnded(
+                    new PoolEvent.LeaseRenewalEnded(open, new LeaseRenewalResult.Unanswered("no answer in time")));
+            for (int i = 0; i < 4; i++) {
+                board.now += 20;
+                leases.onTick();
+            }
+        }
+        assertEquals(listener.lost, List.of(task));
+        assertTrue(board.now - answeredMs <= 4_000, "lost after " + (board.now - answeredMs) + " ms");
+    }
+
     private static final class RecordingListener implements LeaseController.RunListener {
 
         private final List<OwnedTask> lost = new ArrayList<>();
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/internal/pool/LinkedVmsTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/internal/pool/LinkedVmsTest.java
@@ -58,7 +58,7 @@
     public void acknowledgementOfAHeartbeatSentBeforeAPauseDoesNotCount() {
         vms.onAcknowledged(ENTRY, 990);
         // The steady clock has not counted the pause.
-        assertEquals(List.copyOf(vms.onPause()), List.of(ENTRY));
+        assertEquals(List.copyOf(vms.onPause(board.now)), List.of(ENTRY));
         assertFalse(vms.onAcknowledged(ENTRY, 999));
         assertFalse(vms.mayStartFor(ENTRY, LINK));
         assertTrue(vms.onAcknowledged(ENTRY, 1_000));
@@ -67,7 +67,7 @@
 
     @Test
     public void jobsOfOwnCallersStartAfterAPauseOnceTheirDisconnectsAreKnown() {
-        vms.onPause();
+        vms.onPause(board.now);
         assertFalse(vms.mayStartFor(SELF, 0));
         assertEquals(effects, List.of(new PoolEffect.CheckCallers(1_000)));
         vms.onCallersChecked(999);
