--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/LateStopTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/LateStopTest.java
@@ -10,10 +10,6 @@
 /** Tests that a job is not started again while a run of its earlier submission waits for a stop that is carried out late. */
 public class LateStopTest {
 
-    private static SimulatedVm owner(PoolSimulation s) {
-        return s.vms.stream().filter(v -> v.alive && v.isOwner()).findFirst().orElseThrow();
-    }
-
     /**
      * A VM is killed, and the owner orders the stop of its run, which the endpoint does not carry out. The owner goes on
      * extending the lease of the endpoint for another run. It is killed shortly before the caller submits the job again; it
@@ -28,7 +24,7 @@
                 PoolSimulation s = new PoolSimulation(seed, 6, 9);
                 s.startAll();
                 s.runUntil(18_000);
-                SimulatedVm first = owner(s);
+                SimulatedVm first = s.owner();
                 List<SimulatedVm> others =
                         s.vms.stream().filter(v -> v != first).toList();
                 s.submitAt(others.get(0), PoolJobs.patientJob("job-001", 1, 4_000));
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/LeasesAfterPausesTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/LeasesAfterPausesTest.java
@@ -17,10 +17,6 @@
         return s;
     }
 
-    private static SimulatedVm owner(PoolSimulation s) {
-        return s.vms.stream().filter(v -> v.alive && v.isOwner()).findFirst().orElseThrow();
-    }
-
     private static List<SimulatedVm> others(PoolSimulation s, SimulatedVm not) {
         return s.vms.stream().filter(v -> v != not).toList();
     }
@@ -44,7 +40,7 @@
         List<String> broken = new ArrayList<>();
         for (long frozenMs = minFrozenMs; frozenMs <= maxFrozenMs; frozenMs += 50) {
             PoolSimulation s = started(2);
-            SimulatedVm first = owner(s);
+            SimulatedVm first = s.owner();
             PoolJob job = PoolJobs.patientJob("job-001", 1, 5_000);
             PoolSimulation.Caller caller = s.submitAt(first, job);
             s.submitAt(first, PoolJobs.patientJob("job-002", 1, 5_000));
@@ -92,7 +88,7 @@
         List<String> broken = new ArrayList<>();
         for (long atMs = 100; atMs < 500; atMs += 10) {
             PoolSimulation s = started(2);
-            SimulatedVm first = owner(s);
+            SimulatedVm first = s.owner();
             SimulatedVm lost = others(s, first).get(0);
             s.submitAt(lost, PoolJobs.patientJob("job-001", 1, 4_000));
             s.submitAt(others(s, first).get(1), PoolJobs.patientJob("job-002", 1, 4_000));
@@ -128,7 +124,7 @@
         for (long frozenMs = 405; frozenMs <= 445; frozenMs += 20) {
             for (long atMs = 200; atMs < 500; atMs += 10) {
                 PoolSimulation s = started(2);
-                SimulatedVm first = owner(s);
+                SimulatedVm first = s.owner();
                 s.submitAt(others(s, first).get(0), PoolJobs.patientJob("job-001", 1, 4_000));
                 s.runUntil(s.nowMs() + atMs);
                 first.freeze();
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/LostWithdrawalTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/LostWithdrawalTest.java
@@ -51,8 +51,7 @@
             PoolSimulation s = new PoolSimulation(seed, 6, 9);
             s.startAll();
             s.runUntil(18_000);
-            String ownerZone = zoneOf(
-                    s.vms.stream().filter(SimulatedVm::isOwner).findFirst().orElseThrow());
+            String ownerZone = zoneOf(s.owner());
             SimulatedVm isolated = s.vms.stream()
                     .filter(v -> !zoneOf(v).equals(ownerZone))
                     .findFirst()
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolCoreTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolCoreTest.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 
 import org.testng.annotations.Test;
 
@@ -20,12 +19,6 @@
         return s;
     }
 
-    private static SimulatedVm owner(PoolSimulation s) {
-        Optional<SimulatedVm> owner =
-                s.vms.stream().filter(v -> v.alive && v.isOwner()).findFirst();
-        return owner.orElseThrow(() -> new AssertionError("no owner"));
-    }
-
     private static void assertCompleted(PoolSimulation.Caller caller) {
         assertEquals(caller.answers, List.of(new JobOutcome.Completed()));
     }
@@ -49,14 +42,14 @@
     @Test
     public void runsContinueUnderTheNextOwnerWithoutASecondStart() {
         PoolSimulation s = opened(9);
-        SimulatedVm first = owner(s);
+        SimulatedVm first = s.owner();
         PoolSimulation.Caller caller = s.submitAt(other(s, first), PoolJobs.patientJob("job-1", 3, 800));
         s.runUntil(s.nowMs() + 100);
         s.kill(first);
         s.runUntil(s.nowMs() + 2_500);
         assertCompleted(caller);
         assertEquals(starts(s), 3);
-        assertFalse(owner(s) == first);
+        assertFalse(s.owner() == first);
     }
 
     private static SimulatedVm other(PoolSimulation s, SimulatedVm not) {
@@ -66,7 +59,7 @@
     @Test
     public void killedOwnerIsReplacedWithin400Ms() {
         PoolSimulation s = opened(9);
-        s.kill(owner(s));
+        s.kill(s.owner());
         long killedAtMs = s.nowMs();
         while (s.vms.stream().noneMatch(v -> v.alive && v.isOwner())) {
             s.runUntil(s.nowMs() + 10);
@@ -77,7 +70,7 @@
     @Test
     public void stoppingOwnerHandsOverThePool() {
         PoolSimulation s = opened(9);
-        SimulatedVm first = owner(s);
+        SimulatedVm first = s.owner();
         first.deliver(first.startNumber(), new PoolEvent.StopRequested());
         s.runUntil(s.nowMs() + 500);
         assertFalse(first.isOwner());
@@ -88,7 +81,7 @@
     public void isolatedZoneRunsItsJobsOnItsOwnEndpoints() {
         PoolSimulation s = opened(9);
         String zone = s.vms.stream()
-                .filter(v -> !v.contact.zone().equals(owner(s).contact.zone()))
+                .filter(v -> !v.contact.zone().equals(s.owner().contact.zone()))
                 .findFirst()
                 .orElseThrow()
                 .contact
@@ -206,15 +199,15 @@
     public void resubmittedJobWithOrphanRunsIsResumedAndNotRefused() {
         PoolSimulation s = opened(2);
         PoolJob job = PoolJobs.job("job-1", 4, 300);
-        SimulatedVm first = owner(s);
+        SimulatedVm first = s.owner();
         s.submitAt(first, job);
         s.runUntil(s.nowMs() + 20);
         s.kill(first);
         s.runUntil(s.nowMs() + 130);
         for (int i = 0; i < 40; i++) {
-            s.submitAt(owner(s), PoolJobs.job("small-" + i, 4, 100));
+            s.submitAt(s.owner(), PoolJobs.job("small-" + i, 4, 100));
         }
-        PoolSimulation.Caller again = s.submitAt(owner(s), job);
+        PoolSimulation.Caller again = s.submitAt(s.owner(), job);
         s.runUntil(s.nowMs() + 600);
         assertCompleted(again);
     }
@@ -232,7 +225,7 @@
     @Test
     public void runsAreStoppedWhenTheirEntryVmIsKilled() {
         PoolSimulation s = opened(9);
-        SimulatedVm entry = other(s, owner(s));
+        SimulatedVm entry = other(s, s.owner());
         s.submitAt(entry, PoolJobs.patientJob("job-1", 2, 5_000));
         s.runUntil(s.nowMs() + 100);
         s.kill(entry);
@@ -264,7 +257,7 @@
     public void jobsOfAnIsolatedZoneResumeOnlyAfterItsUnlistedEndpointsAnswered() {
         PoolSimulation s = opened(9);
         String zone = s.vms.stream()
-                .filter(v -> !v.contact.zone().equals(owner(s).contact.zone()))
+                .filter(v -> !v.contact.zone().equals(s.owner().contact.zone()))
                 .findFirst()
                 .orElseThrow()
                 .contact
@@ -289,7 +282,7 @@
     public void ownerStartedDuringZoneIsolationWaitsForTheRunsOfThatZone() {
         PoolSimulation s = opened(9);
         String zone = s.vms.stream()
-                .filter(v -> !v.contact.zone().equals(owner(s).contact.zone()))
+                .filter(v -> !v.contact.zone().equals(s.owner().contact.zone()))
                 .findFirst()
                 .orElseThrow()
                 .contact
@@ -324,7 +317,7 @@
             PoolSimulation s = new PoolSimulation(frozenMs, 6, 9);
             s.startAll();
             s.runUntil(18_000);
-            SimulatedVm first = owner(s);
+            SimulatedVm first = s.owner();
             SimulatedVm entry = other(s, first);
             for (int i = 0; i < 4; i++) {
                 s.submitAt(entry, PoolJobs.patientJob("job-00" + i, 3, 1_400));
@@ -348,7 +341,7 @@
     @Test
     public void callersAreAnsweredWhenTheirVmIsLateAfterAPauseOfTheOwner() {
         PoolSimulation s = opened(9);
-        SimulatedVm first = owner(s);
+        SimulatedVm first = s.owner();
         SimulatedVm entry = other(s, first);
         PoolSimulation.Caller caller = s.submitAt(entry, PoolJobs.patientJob("job-1", 3, 900));
         s.runUntil(s.nowMs() + 100);
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolSimulation.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolSimulation.java
@@ -155,6 +155,14 @@
         }
     }
 
+    /** Returns a VM that owns endpoints; there must be one. */
+    SimulatedVm owner() {
+        return vms.stream()
+                .filter(v -> v.alive && v.isOwner())
+                .findFirst()
+                .orElseThrow(() -> new AssertionError("no owner"));
+    }
+
     Caller submit(PoolJob job) {
         return submit(job, 0);
     }
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SuspendedEntryTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SuspendedEntryTest.java
@@ -99,8 +99,7 @@
             PoolSimulation s = new PoolSimulation(seed, 6, 9);
             s.startAll();
             s.runUntil(18_000);
-            SimulatedVm owner =
-                    s.vms.stream().filter(SimulatedVm::isOwner).findFirst().orElseThrow();
+            SimulatedVm owner = s.owner();
             SimulatedVm isolated = s.vms.stream()
                     .filter(v -> !v.contact.zone().equals(owner.contact.zone()))
                     .findFirst()
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/TwoRunsOfOneOwnerTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/TwoRunsOfOneOwnerTest.java
@@ -11,10 +11,6 @@
 /** Replays ways by which one owner may run a task at two endpoints at the same time, in virtual time. */
 public class TwoRunsOfOneOwnerTest {
 
-    private static SimulatedVm owner(PoolSimulation s) {
-        return s.vms.stream().filter(v -> v.alive && v.isOwner()).findFirst().orElseThrow();
-    }
-
     private static SimulatedVm other(PoolSimulation s, SimulatedVm not) {
         return s.vms.stream().filter(v -> v.alive && v != not).findFirst().orElseThrow();
     }
@@ -32,7 +28,7 @@
             PoolSimulation s = new PoolSimulation(1, 6, 2);
             s.startAll();
             s.runUntil(18_000);
-            SimulatedVm first = owner(s);
+            SimulatedVm first = s.owner();
             s.submitAt(first, PoolJobs.patientJob("job-001", 1, 2_600));
             s.submitAt(other(s, first), PoolJobs.patientJob("job-002", 1, 3_000));
             s.runUntil(s.nowMs() + cutMs);
@@ -60,7 +56,7 @@
             PoolSimulation s = new PoolSimulation(1, 6, 2);
             s.startAll();
             s.runUntil(18_000);
-            SimulatedVm first = owner(s);
+            SimulatedVm first = s.owner();
             s.submitAt(first, PoolJobs.patientJob("job-001", 1, 2_600));
             s.submitAt(other(s, first), PoolJobs.patientJob("job-002", 1, 3_000));
             s.runUntil(s.nowMs() + cutMs);
@@ -82,7 +78,7 @@
             PoolSimulation s = new PoolSimulation(1, 6, 2);
             s.startAll();
             s.runUntil(18_000);
-            SimulatedVm first = owner(s);
+            SimulatedVm first = s.owner();
             s.submitAt(first, PoolJobs.patientJob("job-001", 1, 3_600));
             s.submitAt(other(s, first), PoolJobs.patientJob("job-002", 1, 4_000));
             s.runUntil(s.nowMs() + 100);
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/UnknownEndpointsTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/UnknownEndpointsTest.java
@@ -9,10 +9,6 @@
 /** Tests that a new owner does not start tasks whose runs are at endpoints that have left the list. */
 public class UnknownEndpointsTest {
 
-    private static SimulatedVm owner(PoolSimulation s) {
-        return s.vms.stream().filter(v -> v.alive && v.isOwner()).findFirst().orElseThrow();
-    }
-
     private static SimulatedVm other(PoolSimulation s, SimulatedVm not) {
         return s.vms.stream().filter(v -> v.alive && v != not).findFirst().orElseThrow();
     }
@@ -23,7 +19,7 @@
         PoolSimulation s = new PoolSimulation(1, 6, 3);
         s.startAll();
         s.runUntil(18_000);
-        SimulatedVm first = owner(s);
+        SimulatedVm first = s.owner();
         s.submitAt(other(s, first), PoolJobs.patientJob("job-001", 1, 3_000));
         s.runUntil(s.nowMs() + 100);
         SimulatedEndpoint draining = s.endpoints.stream()
@@ -47,7 +43,7 @@
         PoolSimulation s = new PoolSimulation(1, 6, 9);
         s.startAll();
         s.runUntil(2_000);
-        String owners = owner(s).contact.zone();
+        String owners = s.owner().contact.zone();
         SimulatedVm inside = s.vms.stream()
                 .filter(v -> !v.contact.zone().equals(owners))
                 .findFirst()
