--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.StringJoiner;
 
 import org.gooseberrypier.pool.JobOutcome;
 import org.gooseberrypier.pool.PoolEffect;
@@ -43,6 +45,9 @@
     /** Delay before a stop order that was not accepted is sent again, in milliseconds. */
     private static final long STOP_RETRY_DELAY_MS = 250;
 
+    /** Maximum number of runs that one line of the log names. */
+    private static final int MAX_LOGGED_RUNS = 16;
+
     private final PoolBoard board;
     private final LeaseLimit leaseLimit;
     private final LeaseController leases;
@@ -157,7 +162,8 @@
         }
         leases.adopt(job);
         skipEarlierAttempts(job, message);
-        board.log("event=job_resumed job=" + job.spec.id() + " vm=" + from.address() + " age_ms=" + message.ageMs()
+        board.log("event=job_resumed job=" + job.spec.id() + " vm=" + from.address() + " link="
+                + job.subscribers.get(from).link() + " age_ms=" + message.ageMs()
                 + " earlier_owners=" + message.earlierOwners() + " done=" + job.doneTasks + " running="
                 + job.activeTasks);
         completeIfDone(job);
@@ -526,19 +532,44 @@
         }
         duplicateRunGuard.endPass();
         if (!waiting.isEmpty()) {
-            planner.plan(waiting, board.endpoints.values(), board.now, this::start);
-        }
+            Map<OwnedJob, List<PlacementPlanner.Placement>> started = new LinkedHashMap<>();
+            planner.plan(waiting, board.endpoints.values(), board.now, p -> {
+                start(p);
+                started.computeIfAbsent(p.task().job, j -> new ArrayList<>()).add(p);
+            });
+            started.forEach(this::logStarted);
+        }
+    }
+
+    private void logStarted(OwnedJob job, List<PlacementPlanner.Placement> placed) {
+        StringJoiner runs = new StringJoiner(",");
+        placed.stream()
+                .limit(MAX_LOGGED_RUNS)
+                .forEach(p -> runs.add(
+                        p.task().run() + "@" + p.endpoint().registration.id()));
+        String awaitedBy = awaitingVm(job)
+                .map(e ->
+                        " vm=" + e.getKey().address() + " link=" + e.getValue().link() + " heard_ms_ago="
+                                + (board.now - linkedVms.heardMs(e.getKey(), e.getValue(), board.now)))
+                .orElse("");
+        board.log("event=tasks_started job=" + job.spec.id() + " tasks=" + placed.size() + " runs=" + runs + " token="
+                + board.token + " age_ms=" + (board.now - job.arrivedAtMs) + " resumed=" + job.resumed + awaitedBy);
     }
 
     /** Returns whether an entry VM certainly waits for the job at this owner. */
     private boolean isAwaited(OwnedJob job) {
+        return awaitingVm(job).isPresent();
+    }
+
+    /** Returns an entry VM that certainly waits for the job at this owner, if there is one. */
+    private Optional<Map.Entry<VmIncarnation, OwnedJob.Subscription>> awaitingVm(OwnedJob job) {
         for (Map.Entry<VmIncarnation, OwnedJob.Subscription> e : job.subscribers.entrySet()) {
             OwnedJob.Subscription s = e.getValue();
             if (s.downSinceMs() == 0 && linkedVms.mayStartFor(e.getKey(), s.link())) {
-                return true;
+                return Optional.of(e);
             }
         }
-        return false;
+        return Optional.empty();
     }
 
     private void start(PlacementPlanner.Placement place) {
