End the calls of callers that have left before a heartbeat is acknowledged

Cause: a VM ended overdue calls only at a tick. While its event loop counts as blocked (a check more than 0.1 s late), PoolVm skips ticks for up to 1.5 s, longer than the 1.3 s after which the caller is back; heartbeats are acknowledged all the while, so that the owner starts the job for a VM that would have withdrawn it. Change: overdue calls end before each event is handled.

--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/EntryController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/EntryController.java
@@ -38,6 +38,9 @@
     private final Map<String, EntryJob> jobs = new LinkedHashMap<>();
     private final Map<Long, EntryCall> calls = new LinkedHashMap<>();
     private volatile Map<String, Integer> waiting = Map.of();
+    /** At most the earliest deadline of the calls, in milliseconds. */
+    private long nextDeadlineMs = Long.MAX_VALUE;
+
     private boolean ownerLinked;
     private long ownerUnlinkedSinceMs;
     private long pauseEndedMs = Long.MIN_VALUE / 2;
@@ -103,7 +106,9 @@
                     event.call(), spec.id(), new JobOutcome.Refused("too many jobs", RETRY_AFTER_MS)));
             return;
         }
-        calls.put(event.call(), new EntryCall(spec.id(), board.now + event.patienceMs() - unreadMs()));
+        long deadlineMs = board.now + event.patienceMs() - unreadMs();
+        calls.put(event.call(), new EntryCall(spec.id(), deadlineMs));
+        nextDeadlineMs = Math.min(nextDeadlineMs, deadlineMs);
         if (job != null) {
             job.callers.add(event.call());
             return;
@@ -137,13 +142,20 @@
 
     /**
      * Ends the calls whose deadlines have passed, as if their callers had disconnected: a caller whose connection has become
-     * silent leaves unseen, and submits its job again at any VM.
+     * silent leaves unseen, and submits its job again at any VM. Called before each event is handled, so that this VM neither
+     * acknowledges a heartbeat nor forwards a job for a caller that has left, also while it skips ticks.
      */
-    private void endOverdueCalls() {
+    void endOverdueCalls() {
+        if (board.now < nextDeadlineMs) {
+            return;
+        }
+        nextDeadlineMs = Long.MAX_VALUE;
         List<Map.Entry<Long, EntryCall>> overdue = new ArrayList<>();
         for (Map.Entry<Long, EntryCall> c : calls.entrySet()) {
             if (board.now >= c.getValue().deadlineMs()) {
                 overdue.add(c);
+            } else {
+                nextDeadlineMs = Math.min(nextDeadlineMs, c.getValue().deadlineMs());
             }
         }
         for (Map.Entry<Long, EntryCall> c : overdue) {
@@ -209,7 +221,6 @@
 
     /** Handles a change of the link to the owner; forwards all jobs when the link is up. */
     void onOwnerLinkChanged(boolean nowLinked) {
-        endOverdueCalls();
         if (nowLinked) {
             ownerLinked = true;
             if (!jobs.isEmpty()) {
@@ -226,7 +237,6 @@
     }
 
     void onTick() {
-        endOverdueCalls();
         if (ownerLinked || board.now - ownerUnlinkedSinceMs < NO_OWNER_TIMEOUT_MS) {
             return;
         }
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
@@ -77,6 +77,7 @@
         if (paused) {
             onPause(silentMs);
         }
+        entry.endOverdueCalls();
         dispatch(event);
         processPending(!moreFollow || event instanceof PoolEvent.Tick);
     }
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/CallerDeadlineTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/CallerDeadlineTest.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 import org.testng.annotations.BeforeMethod;
@@ -103,6 +104,18 @@
         assertTrue(answers().get(0) instanceof JobOutcome.Refused, answers().toString());
     }
 
+    /** Ticks are skipped while the event loop is blocked; the owner starts tasks for a VM that acknowledges heartbeats. */
+    @Test
+    public void aHeartbeatIsNotAcknowledgedBeforeOverdueCallersHaveLeft() {
+        submit(1, 500);
+        nowMs += 600;
+        deliver(new PoolEvent.OwnerMessageReceived(
+                OWNER.address(), link, new PoolMessage.Heartbeat(1, 77, List.of(), Map.of())));
+        assertEquals(
+                sent().subList(1, sent().size()),
+                List.of(new PoolMessage.WithdrawJob("job-1"), new PoolMessage.HeartbeatReceived(77)));
+    }
+
     @Test
     public void aCallerThatTellsNoDeadlineIsAwaited() {
         submit(1, PoolEvent.JobSubmitted.UNLIMITED);
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedVm.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedVm.java
@@ -30,6 +30,9 @@
 
     private final PoolSimulation simulation;
     int milliCores = 750;
+    /** Until when the VM skips its ticks, as it does while its event loop counts as blocked, in milliseconds. */
+    long ticksSkippedUntilMs;
+
     private final Deque<Runnable> delayed = new ArrayDeque<>();
     private PoolCore core;
     private long clockLagMs;
@@ -105,7 +108,7 @@
 
     private void tick(long ofStart) {
         if (isCurrentStart(ofStart)) {
-            if (!frozen) {
+            if (!frozen && simulation.nowMs() >= ticksSkippedUntilMs) {
                 handle(new PoolEvent.Tick());
             }
             simulation.after(TICK_INTERVAL_MS, () -> tick(ofStart));
