--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/CrossingMessagesTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/CrossingMessagesTest.java
@@ -183,7 +183,7 @@
     }
 
     /** A VM skips its ticks while its event loop counts as blocked, and acknowledges the heartbeats that it reads. */
-    @Test(groups = "known-red")
+    @Test
     public void aJobOfAnOverdueCallerIsNotStartedWhileTheVmSkipsItsTicks() {
         submit(1, 500);
         run(100);
