Withdraw a job whose outcome crossed its next forward

What callers could see: two runs of a task at once. A caller gets 504, submits its job again, and the owner starts the first submission too. Cause: the owner ends a job, for instance since its VM forwarded nothing for 0.4 s over a new stream, and sends the outcome; the VM's next forward of the job is under way. The VM answers its caller and forgets the job, the owner admits the forward, and the VM acknowledges heartbeats and never withdraws what it does not have. Change: a VM that has forwarded a job more than once withdraws it when it gets an outcome. An owner that does not have it does nothing. CrossingMessagesTest.aJobThatWasAnsweredWhileItWasForwardedAgainIsNotStarted failed before and passes.

--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/EntryController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/EntryController.java
@@ -61,6 +61,8 @@
         private final Set<Integer> doneTasks = new TreeSet<>();
         /** The number of VMs to which the job was forwarded and which may have admitted it. */
         private int earlierOwners;
+        /** How often the job was forwarded. */
+        private int forwards;
 
         EntryJob(PoolJob spec, long arrivedAtMs) {
             this.spec = spec;
@@ -188,6 +190,7 @@
         board.sendToOwner(new PoolMessage.ForwardJob(
                 job.spec, board.now - job.arrivedAtMs, job.earlierOwners, new ArrayList<>(job.doneTasks)));
         job.earlierOwners++;
+        job.forwards++;
     }
 
     void onMessage(PoolMessage.ToEntry message) {
@@ -205,6 +208,10 @@
             EntryJob job = jobs.get(f.job());
             if (job != null) {
                 answer(job, f.outcome());
+                if (job.forwards > 1) {
+                    // The owner may have sent the outcome before the latest forward reached it.
+                    withdraw(job);
+                }
             }
         } else if (message instanceof PoolMessage.Heartbeat h) {
             waiting = h.waitingJobs();
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/CrossingMessagesTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/CrossingMessagesTest.java
@@ -150,7 +150,7 @@
     }
 
     /** The owner ends the job since the VM forwards nothing over its new stream; the VM's forward crosses the outcome. */
-    @Test(groups = "known-red")
+    @Test
     public void aJobThatWasAnsweredWhileItWasForwardedAgainIsNotStarted() {
         submit(1, PoolEvent.JobSubmitted.UNLIMITED);
         run(100);
