Repeat a refusal that crossed the next forward of its job

What callers could see: a job that was refused with 503, "not run", was started. Change: the owner keeps the VMs to which it sent an outcome, and answers a repeated forward of a refused job by the same refusal. A job that the VM got anew is forwarded as such and is admitted; the kept refusal is dropped then.

--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.StringJoiner;
 
 import org.gooseberrypier.pool.JobOutcome;
@@ -90,8 +91,9 @@
 
     void onForwardJob(VmIncarnation from, long link, PoolMessage.ForwardJob message) {
         PoolJob spec = message.job();
-        if (outcomes.isCompleted(spec.id())) {
-            board.sendToEntry(from, new PoolMessage.JobFinished(spec.id(), new JobOutcome.Completed()));
+        Optional<JobOutcome> outcome = outcomes.find(from, message);
+        if (outcome.isPresent()) {
+            board.sendToEntry(from, new PoolMessage.JobFinished(spec.id(), outcome.get()));
             return;
         }
         OwnedJob known = board.jobs.get(spec.id());
@@ -141,10 +143,12 @@
         if (!mayHaveRun) {
             Optional<JobOutcome.Refused> refusal = admission.check(job);
             if (refusal.isPresent()) {
+                outcomes.put(spec.id(), refusal.get(), Set.of(from), board.now);
                 board.sendToEntry(from, new PoolMessage.JobFinished(spec.id(), refusal.get()));
                 return;
             }
         }
+        outcomes.remove(spec.id());
         subscribe(job, from, link);
         board.jobs.put(spec.id(), job);
         if (mayHaveRun) {
@@ -287,12 +291,12 @@
     }
 
     private void sendOutcome(OwnedJob job, JobOutcome outcome) {
+        outcomes.put(job.spec.id(), outcome, job.subscribers.keySet(), board.now);
         for (VmIncarnation vm : job.subscribers.keySet()) {
             board.sendToEntry(vm, new PoolMessage.JobFinished(job.spec.id(), outcome));
         }
         job.subscribers.clear();
         job.awaitedUntilMs = board.now;
-        outcomes.put(job.spec.id(), outcome, board.now);
     }
 
     private void completeIfDone(OwnedJob job) {
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OutcomeCache.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OutcomeCache.java
@@ -3,8 +3,12 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 
 import org.gooseberrypier.pool.JobOutcome;
+import org.gooseberrypier.pool.PoolMessage;
+import org.gooseberrypier.pool.VmIncarnation;
 
 /** Caches the outcomes of recently ended jobs, for callers that submit a job again. */
 final class OutcomeCache {
@@ -17,19 +21,37 @@
 
     private final Map<String, Entry> outcomes = new LinkedHashMap<>();
 
-    private record Entry(JobOutcome outcome, long untilMs) {}
+    private record Entry(JobOutcome outcome, Set<VmIncarnation> receivers, long untilMs) {}
 
-    void put(String job, JobOutcome outcome, long now) {
+    /** Records the outcome of a job and the entry VMs to which it is sent. */
+    void put(String job, JobOutcome outcome, Set<VmIncarnation> receivers, long now) {
         outcomes.remove(job);
-        outcomes.put(job, new Entry(outcome, now + RETENTION_MS));
+        outcomes.put(job, new Entry(outcome, Set.copyOf(receivers), now + RETENTION_MS));
         if (outcomes.size() > MAX_OUTCOMES) {
             outcomes.remove(outcomes.keySet().iterator().next());
         }
     }
 
-    boolean isCompleted(String job) {
-        Entry entry = outcomes.get(job);
-        return entry != null && entry.outcome() instanceof JobOutcome.Completed;
+    /**
+     * Returns the outcome that a forwarded job has already: that of a completed job, and a refusal that the entry VM had not
+     * received when it forwarded the job again. A refusal tells that the job never runs, so that it must not be admitted.
+     */
+    Optional<JobOutcome> find(VmIncarnation from, PoolMessage.ForwardJob message) {
+        Entry entry = outcomes.get(message.job().id());
+        if (entry == null) {
+            return Optional.empty();
+        }
+        boolean refused = entry.outcome() instanceof JobOutcome.Refused
+                && message.hadEarlierOwner()
+                && entry.receivers().contains(from);
+        return entry.outcome() instanceof JobOutcome.Completed || refused
+                ? Optional.of(entry.outcome())
+                : Optional.empty();
+    }
+
+    /** Removes the outcome of an earlier submission of a job. */
+    void remove(String job) {
+        outcomes.remove(job);
     }
 
     void expire(long now) {
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/CrossingMessagesTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/CrossingMessagesTest.java
@@ -21,6 +21,8 @@
     private static final VmIncarnation ENTRY = new VmIncarnation("10.0.0.2:1", "zone-c", 2, 1_000);
     private static final PoolEndpoint ENDPOINT =
             new PoolEndpoint("endpoint", "10.1.0.1:1", "zone-b", "service", List.of("a"), 16_000, 65_536, false);
+    private static final PoolEndpoint SMALL_ENDPOINT =
+            new PoolEndpoint("small", "10.1.0.2:1", "zone-b", "service", List.of("a"), 1_000, 65_536, false);
     private static final String JOB = "job-1";
 
     /** Time after which a caller that has left submits its job again, in milliseconds. */
@@ -168,6 +170,24 @@
         assertEquals(started, List.of());
     }
 
+    /** The owner refuses a job that is too large; the VM forwards it again over its next stream before it reads that. */
+    @Test
+    public void aJobThatWasRefusedWhileItWasForwardedAgainIsNotStarted() {
+        toOwner(new PoolEvent.EndpointsRead(List.of(SMALL_ENDPOINT), nowMs));
+        run(100);
+        entryHandlesEvents = false;
+        submit(1, PoolEvent.JobSubmitted.UNLIMITED);
+        toEntry(new PoolEvent.OwnerLinkDown(OWNER.address(), ownerLink, false));
+        openStream();
+        toEntry(new PoolEvent.OwnerLinkUp(OWNER.address(), ownerLink));
+        addEndpoint();
+        run(100);
+        entryHandlesEvents = true;
+        run(2_000);
+        assertEquals(answered, List.of(1L));
+        assertEquals(started, List.of());
+    }
+
     /** The core of the VM forwards a job when the next stream is open, and handles the loss of the earlier one after that. */
     @Test(groups = "known-red")
     public void aJobThatWasForwardedBeforeItsLinkWasKnownToBeUpIsNotStarted() {
