Void what was forwarded over a link before its VM knew that it was up

What callers could see: two runs of a task at once. Cause: OwnerLink replaces a lost stream by itself. What the core of the entry VM sends before it handles the loss goes out on the next stream. A caller that leaves between the loss and the next link is not withdrawn, since the VM takes its forwards for lost with the link; the owner has the job over the VM's current link. Change: over each new link the VM first sends ForwardsBegin, which voids what came before over it; the jobs that it waits for follow.

--- a/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/Pool.java
+++ b/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/Pool.java
@@ -82,35 +82,36 @@
       "abel\030\016 \001(\t\"u\n\014PresentProto\022.\n\003job\030\001 \001(\0132" +
       "!.gooseberrypier.pool.PoolJobProto\022\016\n\006ag" +
       "e_ms\030\002 \001(\003\022\021\n\thandovers\030\003 \001(\005\022\022\n\ndone_ta" +
-      "sks\030\004 \003(\005\"\367\001\n\014ToOwnerProto\0224\n\005hello\030\001 \001(" +
+      "sks\030\004 \003(\005\"\221\002\n\014ToOwnerProto\0224\n\005hello\030\001 \001(" +
       "\0132#.gooseberrypier.pool.VmContactProtoH\000" +
       "\0224\n\007present\030\002 \001(\0132!.gooseberrypier.pool." +
       "PresentProtoH\000\022\022\n\010withdraw\030\003 \001(\tH\000\022\017\n\005al" +
       "ive\030\004 \001(\010H\000\022\034\n\022heartbeat_received\030\005 \001(\003H" +
-      "\000\022\037\n\027acknowledges_heartbeats\030\006 \001(\010\022\014\n\004li" +
-      "nk\030\007 \001(\003B\t\n\007message\"*\n\rTaskDoneProto\022\013\n\003" +
-      "job\030\001 \001(\t\022\014\n\004task\030\002 \001(\005\"\322\001\n\rFinishedProt" +
-      "o\022\013\n\003job\030\001 \001(\t\022;\n\007outcome\030\002 \001(\0162*.gooseb" +
-      "errypier.pool.FinishedProto.Outcome\022\016\n\006r" +
-      "eason\030\003 \001(\t\022\026\n\016retry_after_ms\030\004 \001(\003\"O\n\007O" +
-      "utcome\022\017\n\013UNSPECIFIED\020\000\022\r\n\tCOMPLETED\020\001\022\n" +
-      "\n\006FAILED\020\002\022\013\n\007REFUSED\020\003\022\013\n\007UNKNOWN\020\004\"\342\001\n" +
-      "\022PoolHeartbeatProto\022\r\n\005token\030\001 \001(\003\0222\n\005pe" +
-      "ers\030\002 \003(\0132#.gooseberrypier.pool.VmContac" +
-      "tProto\022E\n\007waiting\030\003 \003(\01324.gooseberrypier" +
-      ".pool.PoolHeartbeatProto.WaitingEntry\022\022\n" +
-      "\nsent_at_ms\030\004 \001(\003\032.\n\014WaitingEntry\022\013\n\003key" +
-      "\030\001 \001(\t\022\r\n\005value\030\002 \001(\005:\0028\001\"\210\002\n\014ToEntryPro" +
-      "to\0227\n\ttask_done\030\001 \001(\0132\".gooseberrypier.p" +
-      "ool.TaskDoneProtoH\000\0226\n\010finished\030\002 \001(\0132\"." +
-      "gooseberrypier.pool.FinishedProtoH\000\022<\n\th" +
-      "eartbeat\030\003 \001(\0132\'.gooseberrypier.pool.Poo" +
-      "lHeartbeatProtoH\000\022\023\n\tnot_owner\030\004 \001(\003H\000\022\021" +
-      "\n\007welcome\030\005 \001(\010H\000\022\026\n\014not_admitted\030\006 \001(\tH" +
-      "\000B\t\n\007message2a\n\013PoolService\022R\n\006Attach\022!." +
-      "gooseberrypier.pool.ToOwnerProto\032!.goose" +
-      "berrypier.pool.ToEntryProto(\0010\001B\037\n\033org.g" +
-      "ooseberrypier.protocolP\001b\006proto3"
+      "\000\022\030\n\016presents_begin\030\010 \001(\010H\000\022\037\n\027acknowled" +
+      "ges_heartbeats\030\006 \001(\010\022\014\n\004link\030\007 \001(\003B\t\n\007me" +
+      "ssage\"*\n\rTaskDoneProto\022\013\n\003job\030\001 \001(\t\022\014\n\004t" +
+      "ask\030\002 \001(\005\"\322\001\n\rFinishedProto\022\013\n\003job\030\001 \001(\t" +
+      "\022;\n\007outcome\030\002 \001(\0162*.gooseberrypier.pool." +
+      "FinishedProto.Outcome\022\016\n\006reason\030\003 \001(\t\022\026\n" +
+      "\016retry_after_ms\030\004 \001(\003\"O\n\007Outcome\022\017\n\013UNSP" +
+      "ECIFIED\020\000\022\r\n\tCOMPLETED\020\001\022\n\n\006FAILED\020\002\022\013\n\007" +
+      "REFUSED\020\003\022\013\n\007UNKNOWN\020\004\"\342\001\n\022PoolHeartbeat" +
+      "Proto\022\r\n\005token\030\001 \001(\003\0222\n\005peers\030\002 \003(\0132#.go" +
+      "oseberrypier.pool.VmContactProto\022E\n\007wait" +
+      "ing\030\003 \003(\01324.gooseberrypier.pool.PoolHear" +
+      "tbeatProto.WaitingEntry\022\022\n\nsent_at_ms\030\004 " +
+      "\001(\003\032.\n\014WaitingEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005valu" +
+      "e\030\002 \001(\005:\0028\001\"\210\002\n\014ToEntryProto\0227\n\ttask_don" +
+      "e\030\001 \001(\0132\".gooseberrypier.pool.TaskDonePr" +
+      "otoH\000\0226\n\010finished\030\002 \001(\0132\".gooseberrypier" +
+      ".pool.FinishedProtoH\000\022<\n\theartbeat\030\003 \001(\013" +
+      "2\'.gooseberrypier.pool.PoolHeartbeatProt" +
+      "oH\000\022\023\n\tnot_owner\030\004 \001(\003H\000\022\021\n\007welcome\030\005 \001(" +
+      "\010H\000\022\026\n\014not_admitted\030\006 \001(\tH\000B\t\n\007message2a" +
+      "\n\013PoolService\022R\n\006Attach\022!.gooseberrypier" +
+      ".pool.ToOwnerProto\032!.gooseberrypier.pool" +
+      ".ToEntryProto(\0010\001B\037\n\033org.gooseberrypier." +
+      "protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -139,7 +140,7 @@
     internal_static_gooseberrypier_pool_ToOwnerProto_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_gooseberrypier_pool_ToOwnerProto_descriptor,
-        new java.lang.String[] { "Hello", "Present", "Withdraw", "Alive", "HeartbeatReceived", "AcknowledgesHeartbeats", "Link", "Message", });
+        new java.lang.String[] { "Hello", "Present", "Withdraw", "Alive", "HeartbeatReceived", "PresentsBegin", "AcknowledgesHeartbeats", "Link", "Message", });
     internal_static_gooseberrypier_pool_TaskDoneProto_descriptor =
       getDescriptor().getMessageTypes().get(4);
     internal_static_gooseberrypier_pool_TaskDoneProto_fieldAccessorTable = new
--- a/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/ToOwnerProto.java
+++ b/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/ToOwnerProto.java
@@ -54,6 +54,7 @@
     WITHDRAW(3),
     ALIVE(4),
     HEARTBEAT_RECEIVED(5),
+    PRESENTS_BEGIN(8),
     MESSAGE_NOT_SET(0);
     private final int value;
     private MessageCase(int value) {
@@ -76,6 +77,7 @@
         case 3: return WITHDRAW;
         case 4: return ALIVE;
         case 5: return HEARTBEAT_RECEIVED;
+        case 8: return PRESENTS_BEGIN;
         case 0: return MESSAGE_NOT_SET;
         default: return null;
       }
@@ -267,6 +269,35 @@
     return 0L;
   }
 
+  public static final int PRESENTS_BEGIN_FIELD_NUMBER = 8;
+  /**
+   * <pre>
+   * What was presented before over this stream is void; the jobs that the VM waits for follow.
+   * </pre>
+   *
+   * <code>bool presents_begin = 8;</code>
+   * @return Whether the presentsBegin field is set.
+   */
+  @java.lang.Override
+  public boolean hasPresentsBegin() {
+    return messageCase_ == 8;
+  }
+  /**
+   * <pre>
+   * What was presented before over this stream is void; the jobs that the VM waits for follow.
+   * </pre>
+   *
+   * <code>bool presents_begin = 8;</code>
+   * @return The presentsBegin.
+   */
+  @java.lang.Override
+  public boolean getPresentsBegin() {
+    if (messageCase_ == 8) {
+      return (java.lang.Boolean) message_;
+    }
+    return false;
+  }
+
   public static final int ACKNOWLEDGES_HEARTBEATS_FIELD_NUMBER = 6;
   private boolean acknowledgesHeartbeats_ = false;
   /**
@@ -334,6 +365,10 @@
     if (link_ != 0L) {
       output.writeInt64(7, link_);
     }
+    if (messageCase_ == 8) {
+      output.writeBool(
+          8, (boolean)((java.lang.Boolean) message_));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -372,6 +407,11 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(7, link_);
     }
+    if (messageCase_ == 8) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(
+            8, (boolean)((java.lang.Boolean) message_));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -413,6 +453,10 @@
         if (getHeartbeatReceived()
             != other.getHeartbeatReceived()) return false;
         break;
+      case 8:
+        if (getPresentsBegin()
+            != other.getPresentsBegin()) return false;
+        break;
       case 0:
       default:
     }
@@ -456,6 +500,11 @@
         hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
             getHeartbeatReceived());
         break;
+      case 8:
+        hash = (37 * hash) + PRESENTS_BEGIN_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+            getPresentsBegin());
+        break;
       case 0:
       default:
     }
@@ -638,10 +687,10 @@
 
     private void buildPartial0(org.gooseberrypier.protocol.ToOwnerProto result) {
       int from_bitField0_ = bitField0_;
-      if (((from_bitField0_ & 0x00000020) != 0)) {
+      if (((from_bitField0_ & 0x00000040) != 0)) {
         result.acknowledgesHeartbeats_ = acknowledgesHeartbeats_;
       }
-      if (((from_bitField0_ & 0x00000040) != 0)) {
+      if (((from_bitField0_ & 0x00000080) != 0)) {
         result.link_ = link_;
       }
     }
@@ -732,6 +781,10 @@
           setHeartbeatReceived(other.getHeartbeatReceived());
           break;
         }
+        case PRESENTS_BEGIN: {
+          setPresentsBegin(other.getPresentsBegin());
+          break;
+        }
         case MESSAGE_NOT_SET: {
           break;
         }
@@ -794,14 +847,19 @@
             } // case 40
             case 48: {
               acknowledgesHeartbeats_ = input.readBool();
-              bitField0_ |= 0x00000020;
+              bitField0_ |= 0x00000040;
               break;
             } // case 48
             case 56: {
               link_ = input.readInt64();
-              bitField0_ |= 0x00000040;
+              bitField0_ |= 0x00000080;
               break;
             } // case 56
+            case 64: {
+              message_ = input.readBool();
+              messageCase_ = 8;
+              break;
+            } // case 64
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1347,6 +1405,64 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * What was presented before over this stream is void; the jobs that the VM waits for follow.
+     * </pre>
+     *
+     * <code>bool presents_begin = 8;</code>
+     * @return Whether the presentsBegin field is set.
+     */
+    public boolean hasPresentsBegin() {
+      return messageCase_ == 8;
+    }
+    /**
+     * <pre>
+     * What was presented before over this stream is void; the jobs that the VM waits for follow.
+     * </pre>
+     *
+     * <code>bool presents_begin = 8;</code>
+     * @return The presentsBegin.
+     */
+    public boolean getPresentsBegin() {
+      if (messageCase_ == 8) {
+        return (java.lang.Boolean) message_;
+      }
+      return false;
+    }
+    /**
+     * <pre>
+     * What was presented before over this stream is void; the jobs that the VM waits for follow.
+     * </pre>
+     *
+     * <code>bool presents_begin = 8;</code>
+     * @param value The presentsBegin to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPresentsBegin(boolean value) {
+
+      messageCase_ = 8;
+      message_ = value;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * What was presented before over this stream is void; the jobs that the VM waits for follow.
+     * </pre>
+     *
+     * <code>bool presents_begin = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPresentsBegin() {
+      if (messageCase_ == 8) {
+        messageCase_ = 0;
+        message_ = null;
+        onChanged();
+      }
+      return this;
+    }
+
     private boolean acknowledgesHeartbeats_ ;
     /**
      * <pre>
@@ -1372,7 +1488,7 @@
     public Builder setAcknowledgesHeartbeats(boolean value) {
 
       acknowledgesHeartbeats_ = value;
-      bitField0_ |= 0x00000020;
+      bitField0_ |= 0x00000040;
       onChanged();
       return this;
     }
@@ -1385,7 +1501,7 @@
      * @return This builder for chaining.
      */
     public Builder clearAcknowledgesHeartbeats() {
-      bitField0_ = (bitField0_ & ~0x00000020);
+      bitField0_ = (bitField0_ & ~0x00000040);
       acknowledgesHeartbeats_ = false;
       onChanged();
       return this;
@@ -1416,7 +1532,7 @@
     public Builder setLink(long value) {
 
       link_ = value;
-      bitField0_ |= 0x00000040;
+      bitField0_ |= 0x00000080;
       onChanged();
       return this;
     }
@@ -1429,7 +1545,7 @@
      * @return This builder for chaining.
      */
     public Builder clearLink() {
-      bitField0_ = (bitField0_ & ~0x00000040);
+      bitField0_ = (bitField0_ & ~0x00000080);
       link_ = 0L;
       onChanged();
       return this;
--- a/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/ToOwnerProtoOrBuilder.java
+++ b/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/ToOwnerProtoOrBuilder.java
@@ -97,6 +97,25 @@
    */
   long getHeartbeatReceived();
 
+  /**
+   * <pre>
+   * What was presented before over this stream is void; the jobs that the VM waits for follow.
+   * </pre>
+   *
+   * <code>bool presents_begin = 8;</code>
+   * @return Whether the presentsBegin field is set.
+   */
+  boolean hasPresentsBegin();
+  /**
+   * <pre>
+   * What was presented before over this stream is void; the jobs that the VM waits for follow.
+   * </pre>
+   *
+   * <code>bool presents_begin = 8;</code>
+   * @return The presentsBegin.
+   */
+  boolean getPresentsBegin();
+
   /**
    * <pre>
    * Set with hello: the VM acknowledges heartbeats.
--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolMessageCodec.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolMessageCodec.java
@@ -45,6 +45,9 @@
         if (message instanceof PoolMessage.HeartbeatReceived h) {
             return ToOwnerProto.newBuilder().setHeartbeatReceived(h.sentAtMs()).build();
         }
+        if (message instanceof PoolMessage.ForwardsBegin) {
+            return ToOwnerProto.newBuilder().setPresentsBegin(true).build();
+        }
         PoolMessage.WithdrawJob w = (PoolMessage.WithdrawJob) message;
         return ToOwnerProto.newBuilder().setWithdraw(w.job()).build();
     }
@@ -54,6 +57,7 @@
             case PRESENT -> Optional.of(decode(message.getPresent()));
             case HEARTBEAT_RECEIVED -> Optional.of(new PoolMessage.HeartbeatReceived(message.getHeartbeatReceived()));
             case WITHDRAW -> Optional.of(new PoolMessage.WithdrawJob(message.getWithdraw()));
+            case PRESENTS_BEGIN -> Optional.of(new PoolMessage.ForwardsBegin());
             default -> Optional.empty();
         };
     }
--- a/org.gooseberrypier.server/src/test/java/org/gooseberrypier/server/pool/PoolMessageCodecTest.java
+++ b/org.gooseberrypier.server/src/test/java/org/gooseberrypier/server/pool/PoolMessageCodecTest.java
@@ -45,6 +45,8 @@
         assertEquals(PoolMessageCodec.decode(PoolMessageCodec.encode(forward)), Optional.of(forward));
         PoolMessage.ToOwner withdraw = new PoolMessage.WithdrawJob("job");
         assertEquals(PoolMessageCodec.decode(PoolMessageCodec.encode(withdraw)), Optional.of(withdraw));
+        PoolMessage.ToOwner begin = new PoolMessage.ForwardsBegin();
+        assertEquals(PoolMessageCodec.decode(PoolMessageCodec.encode(begin)), Optional.of(begin));
         PoolMessage.ToOwner received = new PoolMessage.HeartbeatReceived(17);
         assertEquals(PoolMessageCodec.decode(PoolMessageCodec.encode(received)), Optional.of(received));
     }
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/EntryController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/EntryController.java
@@ -236,6 +236,7 @@
                 board.log("event=jobs_forwarded owner=" + (board.isOwner() ? "self" : board.linkedOwner) + " jobs="
                         + jobs.size() + " unlinked_ms=" + (board.now - ownerUnlinkedSinceMs));
             }
+            board.sendToOwner(new PoolMessage.ForwardsBegin());
             for (EntryJob j : List.copyOf(jobs.values())) {
                 forward(j);
             }
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
@@ -210,6 +210,15 @@
         markDisconnected(vm, board.now);
     }
 
+    /** Voids what an entry VM has forwarded until now; it ends like the jobs of a lost link unless the VM forwards it again. */
+    void onForwardsBegin(VmIncarnation vm) {
+        markDisconnected(vm, board.now);
+        for (OwnedJob j : board.jobs.values()) {
+            j.subscribers.computeIfPresent(vm, (v, s) -> s.voided());
+            j.resubmissions.remove(vm);
+        }
+    }
+
     /** Marks the link of an entry VM as up again for its jobs; over a new link the VM forwards its jobs again instead. */
     void onEntryLinkConfirmed(VmIncarnation vm) {
         for (OwnedJob j : board.jobs.values()) {
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnedJob.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnedJob.java
@@ -63,6 +63,13 @@
      */
     record Subscription(long link, long forwardedMs, long downSinceMs, long heardMs) {
 
+        /** Stands for no link of the VM, so that the subscription stays down whatever link comes up. */
+        private static final long NO_LINK = -1;
+
+        Subscription voided() {
+            return new Subscription(NO_LINK, forwardedMs, downSinceMs, heardMs);
+        }
+
         Subscription up() {
             return new Subscription(link, forwardedMs, 0, heardMs);
         }
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
@@ -172,19 +172,29 @@
 
     private void onEntryMessage(VmIncarnation vm, long link, PoolMessage.ToOwner message) {
         if (!board.isOwner()) {
-            if (message instanceof PoolMessage.ForwardJob p) {
-                board.sendToEntry(vm, new PoolMessage.JobNotAdmitted(p.job().id()));
-            }
-            board.sendToEntry(vm, new PoolMessage.NotOwner(board.token));
+            reject(vm, message);
         } else if (message instanceof PoolMessage.ForwardJob p) {
             jobs.onForwardJob(vm, link, p);
         } else if (message instanceof PoolMessage.WithdrawJob w) {
             jobs.onWithdrawJob(vm, w.job());
+        } else if (message instanceof PoolMessage.ForwardsBegin) {
+            jobs.onForwardsBegin(vm);
         } else if (message instanceof PoolMessage.HeartbeatReceived h && linkedVms.onAcknowledged(vm, h.sentAtMs())) {
             jobs.onEntryLinkConfirmed(vm);
         }
     }
 
+    /** Answers a message that is meant for the owner; a VM that only has opened its link may wait for the claim of this VM. */
+    private void reject(VmIncarnation vm, PoolMessage.ToOwner message) {
+        if (message instanceof PoolMessage.ForwardsBegin) {
+            return;
+        }
+        if (message instanceof PoolMessage.ForwardJob p) {
+            board.sendToEntry(vm, new PoolMessage.JobNotAdmitted(p.job().id()));
+        }
+        board.sendToEntry(vm, new PoolMessage.NotOwner(board.token));
+    }
+
     private void tick() {
         ownership.onTick();
         entry.onTick();
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/PoolMessage.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/PoolMessage.java
@@ -37,6 +37,12 @@
         }
     }
 
+    /**
+     * Begins the jobs that the sender forwards over a new link. What the owner received before over the same link is void: the
+     * sender may have sent it before it learned of the loss of the earlier link, and does not withdraw it.
+     */
+    record ForwardsBegin() implements ToOwner {}
+
     /**
      * Withdraws a job for which no caller waits any more at the entry VM.
      *
