End a job at the deadline that its forward names, whatever becomes of its withdrawal

The next owner starts a job that its VM forwarded while its caller was present, 1.6 s after the handover; the caller has left by then and has submitted the job again in the isolated zone. Cause, as a class: that a job is over rests on a message. If the VM does not send the withdrawal, or it is lost, or the VM forgets the job while its link works, the owner takes the job for awaited for ever. Change: each forward names for how long the job is awaited at most, and another caller's longer wait is sent after it (ExtendJob). A resubmission that waits until a job has ended keeps its time. VMs of earlier versions name no time, and are treated as before. CallerDeadlineTest.aJobIsWithdrawnAtTheDeadlineOfItsLastCaller counted one message before the withdrawal; it names both now, with their times.

--- a/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/Pool.java
+++ b/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/Pool.java
@@ -30,6 +30,11 @@
   static final 
     com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
       internal_static_gooseberrypier_pool_PresentProto_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_gooseberrypier_pool_ExtendProto_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_gooseberrypier_pool_ExtendProto_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_gooseberrypier_pool_ToOwnerProto_descriptor;
   static final 
@@ -79,39 +84,42 @@
       "\n\010priority\030\t \001(\005\022\024\n\014max_failures\030\n \001(\005\022\017" +
       "\n\007stretch\030\013 \001(\001\022\031\n\021target_latency_ms\030\014 \001" +
       "(\003\022\026\n\016preferred_rack\030\r \001(\t\022\026\n\016required_l" +
-      "abel\030\016 \001(\t\"u\n\014PresentProto\022.\n\003job\030\001 \001(\0132" +
-      "!.gooseberrypier.pool.PoolJobProto\022\016\n\006ag" +
-      "e_ms\030\002 \001(\003\022\021\n\thandovers\030\003 \001(\005\022\022\n\ndone_ta" +
-      "sks\030\004 \003(\005\"\221\002\n\014ToOwnerProto\0224\n\005hello\030\001 \001(" +
-      "\0132#.gooseberrypier.pool.VmContactProtoH\000" +
-      "\0224\n\007present\030\002 \001(\0132!.gooseberrypier.pool." +
-      "PresentProtoH\000\022\022\n\010withdraw\030\003 \001(\tH\000\022\017\n\005al" +
-      "ive\030\004 \001(\010H\000\022\034\n\022heartbeat_received\030\005 \001(\003H" +
-      "\000\022\030\n\016presents_begin\030\010 \001(\010H\000\022\037\n\027acknowled" +
-      "ges_heartbeats\030\006 \001(\010\022\014\n\004link\030\007 \001(\003B\t\n\007me" +
-      "ssage\"*\n\rTaskDoneProto\022\013\n\003job\030\001 \001(\t\022\014\n\004t" +
-      "ask\030\002 \001(\005\"\322\001\n\rFinishedProto\022\013\n\003job\030\001 \001(\t" +
-      "\022;\n\007outcome\030\002 \001(\0162*.gooseberrypier.pool." +
-      "FinishedProto.Outcome\022\016\n\006reason\030\003 \001(\t\022\026\n" +
-      "\016retry_after_ms\030\004 \001(\003\"O\n\007Outcome\022\017\n\013UNSP" +
-      "ECIFIED\020\000\022\r\n\tCOMPLETED\020\001\022\n\n\006FAILED\020\002\022\013\n\007" +
-      "REFUSED\020\003\022\013\n\007UNKNOWN\020\004\"\342\001\n\022PoolHeartbeat" +
-      "Proto\022\r\n\005token\030\001 \001(\003\0222\n\005peers\030\002 \003(\0132#.go" +
-      "oseberrypier.pool.VmContactProto\022E\n\007wait" +
-      "ing\030\003 \003(\01324.gooseberrypier.pool.PoolHear" +
-      "tbeatProto.WaitingEntry\022\022\n\nsent_at_ms\030\004 " +
-      "\001(\003\032.\n\014WaitingEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005valu" +
-      "e\030\002 \001(\005:\0028\001\"\210\002\n\014ToEntryProto\0227\n\ttask_don" +
-      "e\030\001 \001(\0132\".gooseberrypier.pool.TaskDonePr" +
-      "otoH\000\0226\n\010finished\030\002 \001(\0132\".gooseberrypier" +
-      ".pool.FinishedProtoH\000\022<\n\theartbeat\030\003 \001(\013" +
-      "2\'.gooseberrypier.pool.PoolHeartbeatProt" +
-      "oH\000\022\023\n\tnot_owner\030\004 \001(\003H\000\022\021\n\007welcome\030\005 \001(" +
-      "\010H\000\022\026\n\014not_admitted\030\006 \001(\tH\000B\t\n\007message2a" +
-      "\n\013PoolService\022R\n\006Attach\022!.gooseberrypier" +
-      ".pool.ToOwnerProto\032!.gooseberrypier.pool" +
-      ".ToEntryProto(\0010\001B\037\n\033org.gooseberrypier." +
-      "protocolP\001b\006proto3"
+      "abel\030\016 \001(\t\"\211\001\n\014PresentProto\022.\n\003job\030\001 \001(\013" +
+      "2!.gooseberrypier.pool.PoolJobProto\022\016\n\006a" +
+      "ge_ms\030\002 \001(\003\022\021\n\thandovers\030\003 \001(\005\022\022\n\ndone_t" +
+      "asks\030\004 \003(\005\022\022\n\nawaited_ms\030\005 \001(\003\".\n\013Extend" +
+      "Proto\022\013\n\003job\030\001 \001(\t\022\022\n\nawaited_ms\030\002 \001(\003\"\305" +
+      "\002\n\014ToOwnerProto\0224\n\005hello\030\001 \001(\0132#.goosebe" +
+      "rrypier.pool.VmContactProtoH\000\0224\n\007present" +
+      "\030\002 \001(\0132!.gooseberrypier.pool.PresentProt" +
+      "oH\000\022\022\n\010withdraw\030\003 \001(\tH\000\022\017\n\005alive\030\004 \001(\010H\000" +
+      "\022\034\n\022heartbeat_received\030\005 \001(\003H\000\022\030\n\016presen" +
+      "ts_begin\030\010 \001(\010H\000\0222\n\006extend\030\t \001(\0132 .goose" +
+      "berrypier.pool.ExtendProtoH\000\022\037\n\027acknowle" +
+      "dges_heartbeats\030\006 \001(\010\022\014\n\004link\030\007 \001(\003B\t\n\007m" +
+      "essage\"*\n\rTaskDoneProto\022\013\n\003job\030\001 \001(\t\022\014\n\004" +
+      "task\030\002 \001(\005\"\322\001\n\rFinishedProto\022\013\n\003job\030\001 \001(" +
+      "\t\022;\n\007outcome\030\002 \001(\0162*.gooseberrypier.pool" +
+      ".FinishedProto.Outcome\022\016\n\006reason\030\003 \001(\t\022\026" +
+      "\n\016retry_after_ms\030\004 \001(\003\"O\n\007Outcome\022\017\n\013UNS" +
+      "PECIFIED\020\000\022\r\n\tCOMPLETED\020\001\022\n\n\006FAILED\020\002\022\013\n" +
+      "\007REFUSED\020\003\022\013\n\007UNKNOWN\020\004\"\342\001\n\022PoolHeartbea" +
+      "tProto\022\r\n\005token\030\001 \001(\003\0222\n\005peers\030\002 \003(\0132#.g" +
+      "ooseberrypier.pool.VmContactProto\022E\n\007wai" +
+      "ting\030\003 \003(\01324.gooseberrypier.pool.PoolHea" +
+      "rtbeatProto.WaitingEntry\022\022\n\nsent_at_ms\030\004" +
+      " \001(\003\032.\n\014WaitingEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005val" +
+      "ue\030\002 \001(\005:\0028\001\"\210\002\n\014ToEntryProto\0227\n\ttask_do" +
+      "ne\030\001 \001(\0132\".gooseberrypier.pool.TaskDoneP" +
+      "rotoH\000\0226\n\010finished\030\002 \001(\0132\".gooseberrypie" +
+      "r.pool.FinishedProtoH\000\022<\n\theartbeat\030\003 \001(" +
+      "\0132\'.gooseberrypier.pool.PoolHeartbeatPro" +
+      "toH\000\022\023\n\tnot_owner\030\004 \001(\003H\000\022\021\n\007welcome\030\005 \001" +
+      "(\010H\000\022\026\n\014not_admitted\030\006 \001(\tH\000B\t\n\007message2" +
+      "a\n\013PoolService\022R\n\006Attach\022!.gooseberrypie" +
+      "r.pool.ToOwnerProto\032!.gooseberrypier.poo" +
+      "l.ToEntryProto(\0010\001B\037\n\033org.gooseberrypier" +
+      ".protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -134,27 +142,33 @@
     internal_static_gooseberrypier_pool_PresentProto_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_gooseberrypier_pool_PresentProto_descriptor,
-        new java.lang.String[] { "Job", "AgeMs", "Handovers", "DoneTasks", });
-    internal_static_gooseberrypier_pool_ToOwnerProto_descriptor =
+        new java.lang.String[] { "Job", "AgeMs", "Handovers", "DoneTasks", "AwaitedMs", });
+    internal_static_gooseberrypier_pool_ExtendProto_descriptor =
       getDescriptor().getMessageTypes().get(3);
+    internal_static_gooseberrypier_pool_ExtendProto_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_gooseberrypier_pool_ExtendProto_descriptor,
+        new java.lang.String[] { "Job", "AwaitedMs", });
+    internal_static_gooseberrypier_pool_ToOwnerProto_descriptor =
+      getDescriptor().getMessageTypes().get(4);
     internal_static_gooseberrypier_pool_ToOwnerProto_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_gooseberrypier_pool_ToOwnerProto_descriptor,
-        new java.lang.String[] { "Hello", "Present", "Withdraw", "Alive", "HeartbeatReceived", "PresentsBegin", "AcknowledgesHeartbeats", "Link", "Message", });
+        new java.lang.String[] { "Hello", "Present", "Withdraw", "Alive", "HeartbeatReceived", "PresentsBegin", "Extend", "AcknowledgesHeartbeats", "Link", "Message", });
     internal_static_gooseberrypier_pool_TaskDoneProto_descriptor =
-      getDescriptor().getMessageTypes().get(4);
+      getDescriptor().getMessageTypes().get(5);
     internal_static_gooseberrypier_pool_TaskDoneProto_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_gooseberrypier_pool_TaskDoneProto_descriptor,
         new java.lang.String[] { "Job", "Task", });
     internal_static_gooseberrypier_pool_FinishedProto_descriptor =
-      getDescriptor().getMessageTypes().get(5);
+      getDescriptor().getMessageTypes().get(6);
     internal_static_gooseberrypier_pool_FinishedProto_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_gooseberrypier_pool_FinishedProto_descriptor,
         new java.lang.String[] { "Job", "Outcome", "Reason", "RetryAfterMs", });
     internal_static_gooseberrypier_pool_PoolHeartbeatProto_descriptor =
-      getDescriptor().getMessageTypes().get(6);
+      getDescriptor().getMessageTypes().get(7);
     internal_static_gooseberrypier_pool_PoolHeartbeatProto_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_gooseberrypier_pool_PoolHeartbeatProto_descriptor,
@@ -166,7 +180,7 @@
         internal_static_gooseberrypier_pool_PoolHeartbeatProto_WaitingEntry_descriptor,
         new java.lang.String[] { "Key", "Value", });
     internal_static_gooseberrypier_pool_ToEntryProto_descriptor =
-      getDescriptor().getMessageTypes().get(7);
+      getDescriptor().getMessageTypes().get(8);
     internal_static_gooseberrypier_pool_ToEntryProto_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_gooseberrypier_pool_ToEntryProto_descriptor,
--- a/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/PresentProto.java
+++ b/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/PresentProto.java
@@ -119,6 +119,21 @@
   }
   private int doneTasksMemoizedSerializedSize = -1;
 
+  public static final int AWAITED_MS_FIELD_NUMBER = 5;
+  private long awaitedMs_ = 0L;
+  /**
+   * <pre>
+   * How long a caller waits at most from now on; 0 if without limit.
+   * </pre>
+   *
+   * <code>int64 awaited_ms = 5;</code>
+   * @return The awaitedMs.
+   */
+  @java.lang.Override
+  public long getAwaitedMs() {
+    return awaitedMs_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -150,6 +165,9 @@
     for (int i = 0; i < doneTasks_.size(); i++) {
       output.writeInt32NoTag(doneTasks_.getInt(i));
     }
+    if (awaitedMs_ != 0L) {
+      output.writeInt64(5, awaitedMs_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -185,6 +203,10 @@
       }
       doneTasksMemoizedSerializedSize = dataSize;
     }
+    if (awaitedMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(5, awaitedMs_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -211,6 +233,8 @@
         != other.getHandovers()) return false;
     if (!getDoneTasksList()
         .equals(other.getDoneTasksList())) return false;
+    if (getAwaitedMs()
+        != other.getAwaitedMs()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -235,6 +259,9 @@
       hash = (37 * hash) + DONE_TASKS_FIELD_NUMBER;
       hash = (53 * hash) + getDoneTasksList().hashCode();
     }
+    hash = (37 * hash) + AWAITED_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getAwaitedMs());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -380,6 +407,7 @@
       ageMs_ = 0L;
       handovers_ = 0;
       doneTasks_ = emptyIntList();
+      awaitedMs_ = 0L;
       return this;
     }
 
@@ -430,6 +458,9 @@
         doneTasks_.makeImmutable();
         result.doneTasks_ = doneTasks_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.awaitedMs_ = awaitedMs_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -497,6 +528,9 @@
         }
         onChanged();
       }
+      if (other.getAwaitedMs() != 0L) {
+        setAwaitedMs(other.getAwaitedMs());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -556,6 +590,11 @@
               input.popLimit(limit);
               break;
             } // case 34
+            case 40: {
+              awaitedMs_ = input.readInt64();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -841,6 +880,50 @@
       onChanged();
       return this;
     }
+
+    private long awaitedMs_ ;
+    /**
+     * <pre>
+     * How long a caller waits at most from now on; 0 if without limit.
+     * </pre>
+     *
+     * <code>int64 awaited_ms = 5;</code>
+     * @return The awaitedMs.
+     */
+    @java.lang.Override
+    public long getAwaitedMs() {
+      return awaitedMs_;
+    }
+    /**
+     * <pre>
+     * How long a caller waits at most from now on; 0 if without limit.
+     * </pre>
+     *
+     * <code>int64 awaited_ms = 5;</code>
+     * @param value The awaitedMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAwaitedMs(long value) {
+
+      awaitedMs_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How long a caller waits at most from now on; 0 if without limit.
+     * </pre>
+     *
+     * <code>int64 awaited_ms = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAwaitedMs() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      awaitedMs_ = 0L;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/PresentProtoOrBuilder.java
+++ b/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/PresentProtoOrBuilder.java
@@ -51,4 +51,14 @@
    * @return The doneTasks at the given index.
    */
   int getDoneTasks(int index);
+
+  /**
+   * <pre>
+   * How long a caller waits at most from now on; 0 if without limit.
+   * </pre>
+   *
+   * <code>int64 awaited_ms = 5;</code>
+   * @return The awaitedMs.
+   */
+  long getAwaitedMs();
 }
--- a/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/ToOwnerProto.java
+++ b/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/ToOwnerProto.java
@@ -55,6 +55,7 @@
     ALIVE(4),
     HEARTBEAT_RECEIVED(5),
     PRESENTS_BEGIN(8),
+    EXTEND(9),
     MESSAGE_NOT_SET(0);
     private final int value;
     private MessageCase(int value) {
@@ -78,6 +79,7 @@
         case 4: return ALIVE;
         case 5: return HEARTBEAT_RECEIVED;
         case 8: return PRESENTS_BEGIN;
+        case 9: return EXTEND;
         case 0: return MESSAGE_NOT_SET;
         default: return null;
       }
@@ -298,6 +300,37 @@
     return false;
   }
 
+  public static final int EXTEND_FIELD_NUMBER = 9;
+  /**
+   * <code>.gooseberrypier.pool.ExtendProto extend = 9;</code>
+   * @return Whether the extend field is set.
+   */
+  @java.lang.Override
+  public boolean hasExtend() {
+    return messageCase_ == 9;
+  }
+  /**
+   * <code>.gooseberrypier.pool.ExtendProto extend = 9;</code>
+   * @return The extend.
+   */
+  @java.lang.Override
+  public org.gooseberrypier.protocol.ExtendProto getExtend() {
+    if (messageCase_ == 9) {
+       return (org.gooseberrypier.protocol.ExtendProto) message_;
+    }
+    return org.gooseberrypier.protocol.ExtendProto.getDefaultInstance();
+  }
+  /**
+   * <code>.gooseberrypier.pool.ExtendProto extend = 9;</code>
+   */
+  @java.lang.Override
+  public org.gooseberrypier.protocol.ExtendProtoOrBuilder getExtendOrBuilder() {
+    if (messageCase_ == 9) {
+       return (org.gooseberrypier.protocol.ExtendProto) message_;
+    }
+    return org.gooseberrypier.protocol.ExtendProto.getDefaultInstance();
+  }
+
   public static final int ACKNOWLEDGES_HEARTBEATS_FIELD_NUMBER = 6;
   private boolean acknowledgesHeartbeats_ = false;
   /**
@@ -369,6 +402,9 @@
       output.writeBool(
           8, (boolean)((java.lang.Boolean) message_));
     }
+    if (messageCase_ == 9) {
+      output.writeMessage(9, (org.gooseberrypier.protocol.ExtendProto) message_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -412,6 +448,10 @@
         .computeBoolSize(
             8, (boolean)((java.lang.Boolean) message_));
     }
+    if (messageCase_ == 9) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(9, (org.gooseberrypier.protocol.ExtendProto) message_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -457,6 +497,10 @@
         if (getPresentsBegin()
             != other.getPresentsBegin()) return false;
         break;
+      case 9:
+        if (!getExtend()
+            .equals(other.getExtend())) return false;
+        break;
       case 0:
       default:
     }
@@ -505,6 +549,10 @@
         hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
             getPresentsBegin());
         break;
+      case 9:
+        hash = (37 * hash) + EXTEND_FIELD_NUMBER;
+        hash = (53 * hash) + getExtend().hashCode();
+        break;
       case 0:
       default:
     }
@@ -649,6 +697,9 @@
       if (presentBuilder_ != null) {
         presentBuilder_.clear();
       }
+      if (extendBuilder_ != null) {
+        extendBuilder_.clear();
+      }
       acknowledgesHeartbeats_ = false;
       link_ = 0L;
       messageCase_ = 0;
@@ -687,10 +738,10 @@
 
     private void buildPartial0(org.gooseberrypier.protocol.ToOwnerProto result) {
       int from_bitField0_ = bitField0_;
-      if (((from_bitField0_ & 0x00000040) != 0)) {
+      if (((from_bitField0_ & 0x00000080) != 0)) {
         result.acknowledgesHeartbeats_ = acknowledgesHeartbeats_;
       }
-      if (((from_bitField0_ & 0x00000080) != 0)) {
+      if (((from_bitField0_ & 0x00000100) != 0)) {
         result.link_ = link_;
       }
     }
@@ -706,6 +757,10 @@
           presentBuilder_ != null) {
         result.message_ = presentBuilder_.build();
       }
+      if (messageCase_ == 9 &&
+          extendBuilder_ != null) {
+        result.message_ = extendBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -785,6 +840,10 @@
           setPresentsBegin(other.getPresentsBegin());
           break;
         }
+        case EXTEND: {
+          mergeExtend(other.getExtend());
+          break;
+        }
         case MESSAGE_NOT_SET: {
           break;
         }
@@ -847,12 +906,12 @@
             } // case 40
             case 48: {
               acknowledgesHeartbeats_ = input.readBool();
-              bitField0_ |= 0x00000040;
+              bitField0_ |= 0x00000080;
               break;
             } // case 48
             case 56: {
               link_ = input.readInt64();
-              bitField0_ |= 0x00000080;
+              bitField0_ |= 0x00000100;
               break;
             } // case 56
             case 64: {
@@ -860,6 +919,13 @@
               messageCase_ = 8;
               break;
             } // case 64
+            case 74: {
+              input.readMessage(
+                  getExtendFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              messageCase_ = 9;
+              break;
+            } // case 74
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1463,6 +1529,148 @@
       return this;
     }
 
+    private com.google.protobuf.SingleFieldBuilderV3<
+        org.gooseberrypier.protocol.ExtendProto, org.gooseberrypier.protocol.ExtendProto.Builder, org.gooseberrypier.protocol.ExtendProtoOrBuilder> extendBuilder_;
+    /**
+     * <code>.gooseberrypier.pool.ExtendProto extend = 9;</code>
+     * @return Whether the extend field is set.
+     */
+    @java.lang.Override
+    public boolean hasExtend() {
+      return messageCase_ == 9;
+    }
+    /**
+     * <code>.gooseberrypier.pool.ExtendProto extend = 9;</code>
+     * @return The extend.
+     */
+    @java.lang.Override
+    public org.gooseberrypier.protocol.ExtendProto getExtend() {
+      if (extendBuilder_ == null) {
+        if (messageCase_ == 9) {
+          return (org.gooseberrypier.protocol.ExtendProto) message_;
+        }
+        return org.gooseberrypier.protocol.ExtendProto.getDefaultInstance();
+      } else {
+        if (messageCase_ == 9) {
+          return extendBuilder_.getMessage();
+        }
+        return org.gooseberrypier.protocol.ExtendProto.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.gooseberrypier.pool.ExtendProto extend = 9;</code>
+     */
+    public Builder setExtend(org.gooseberrypier.protocol.ExtendProto value) {
+      if (extendBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        message_ = value;
+        onChanged();
+      } else {
+        extendBuilder_.setMessage(value);
+      }
+      messageCase_ = 9;
+      return this;
+    }
+    /**
+     * <code>.gooseberrypier.pool.ExtendProto extend = 9;</code>
+     */
+    public Builder setExtend(
+        org.gooseberrypier.protocol.ExtendProto.Builder builderForValue) {
+      if (extendBuilder_ == null) {
+        message_ = builderForValue.build();
+        onChanged();
+      } else {
+        extendBuilder_.setMessage(builderForValue.build());
+      }
+      messageCase_ = 9;
+      return this;
+    }
+    /**
+     * <code>.gooseberrypier.pool.ExtendProto extend = 9;</code>
+     */
+    public Builder mergeExtend(org.gooseberrypier.protocol.ExtendProto value) {
+      if (extendBuilder_ == null) {
+        if (messageCase_ == 9 &&
+            message_ != org.gooseberrypier.protocol.ExtendProto.getDefaultInstance()) {
+          message_ = org.gooseberrypier.protocol.ExtendProto.newBuilder((org.gooseberrypier.protocol.ExtendProto) message_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          message_ = value;
+        }
+        onChanged();
+      } else {
+        if (messageCase_ == 9) {
+          extendBuilder_.mergeFrom(value);
+        } else {
+          extendBuilder_.setMessage(value);
+        }
+      }
+      messageCase_ = 9;
+      return this;
+    }
+    /**
+     * <code>.gooseberrypier.pool.ExtendProto extend = 9;</code>
+     */
+    public Builder clearExtend() {
+      if (extendBuilder_ == null) {
+        if (messageCase_ == 9) {
+          messageCase_ = 0;
+          message_ = null;
+          onChanged();
+        }
+      } else {
+        if (messageCase_ == 9) {
+          messageCase_ = 0;
+          message_ = null;
+        }
+        extendBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.gooseberrypier.pool.ExtendProto extend = 9;</code>
+     */
+    public org.gooseberrypier.protocol.ExtendProto.Builder getExtendBuilder() {
+      return getExtendFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.gooseberrypier.pool.ExtendProto extend = 9;</code>
+     */
+    @java.lang.Override
+    public org.gooseberrypier.protocol.ExtendProtoOrBuilder getExtendOrBuilder() {
+      if ((messageCase_ == 9) && (extendBuilder_ != null)) {
+        return extendBuilder_.getMessageOrBuilder();
+      } else {
+        if (messageCase_ == 9) {
+          return (org.gooseberrypier.protocol.ExtendProto) message_;
+        }
+        return org.gooseberrypier.protocol.ExtendProto.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.gooseberrypier.pool.ExtendProto extend = 9;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilderV3<
+        org.gooseberrypier.protocol.ExtendProto, org.gooseberrypier.protocol.ExtendProto.Builder, org.gooseberrypier.protocol.ExtendProtoOrBuilder> 
+        getExtendFieldBuilder() {
+      if (extendBuilder_ == null) {
+        if (!(messageCase_ == 9)) {
+          message_ = org.gooseberrypier.protocol.ExtendProto.getDefaultInstance();
+        }
+        extendBuilder_ = new com.google.protobuf.SingleFieldBuilderV3<
+            org.gooseberrypier.protocol.ExtendProto, org.gooseberrypier.protocol.ExtendProto.Builder, org.gooseberrypier.protocol.ExtendProtoOrBuilder>(
+                (org.gooseberrypier.protocol.ExtendProto) message_,
+                getParentForChildren(),
+                isClean());
+        message_ = null;
+      }
+      messageCase_ = 9;
+      onChanged();
+      return extendBuilder_;
+    }
+
     private boolean acknowledgesHeartbeats_ ;
     /**
      * <pre>
@@ -1488,7 +1696,7 @@
     public Builder setAcknowledgesHeartbeats(boolean value) {
 
       acknowledgesHeartbeats_ = value;
-      bitField0_ |= 0x00000040;
+      bitField0_ |= 0x00000080;
       onChanged();
       return this;
     }
@@ -1501,7 +1709,7 @@
      * @return This builder for chaining.
      */
     public Builder clearAcknowledgesHeartbeats() {
-      bitField0_ = (bitField0_ & ~0x00000040);
+      bitField0_ = (bitField0_ & ~0x00000080);
       acknowledgesHeartbeats_ = false;
       onChanged();
       return this;
@@ -1532,7 +1740,7 @@
     public Builder setLink(long value) {
 
       link_ = value;
-      bitField0_ |= 0x00000080;
+      bitField0_ |= 0x00000100;
       onChanged();
       return this;
     }
@@ -1545,7 +1753,7 @@
      * @return This builder for chaining.
      */
     public Builder clearLink() {
-      bitField0_ = (bitField0_ & ~0x00000080);
+      bitField0_ = (bitField0_ & ~0x00000100);
       link_ = 0L;
       onChanged();
       return this;
--- a/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/ToOwnerProtoOrBuilder.java
+++ b/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/ToOwnerProtoOrBuilder.java
@@ -116,6 +116,21 @@
    */
   boolean getPresentsBegin();
 
+  /**
+   * <code>.gooseberrypier.pool.ExtendProto extend = 9;</code>
+   * @return Whether the extend field is set.
+   */
+  boolean hasExtend();
+  /**
+   * <code>.gooseberrypier.pool.ExtendProto extend = 9;</code>
+   * @return The extend.
+   */
+  org.gooseberrypier.protocol.ExtendProto getExtend();
+  /**
+   * <code>.gooseberrypier.pool.ExtendProto extend = 9;</code>
+   */
+  org.gooseberrypier.protocol.ExtendProtoOrBuilder getExtendOrBuilder();
+
   /**
    * <pre>
    * Set with hello: the VM acknowledges heartbeats.
--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolMessageCodec.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolMessageCodec.java
@@ -6,6 +6,7 @@
 import org.gooseberrypier.pool.PoolJob;
 import org.gooseberrypier.pool.PoolMessage;
 import org.gooseberrypier.pool.VmIncarnation;
+import org.gooseberrypier.protocol.ExtendProto;
 import org.gooseberrypier.protocol.FinishedProto;
 import org.gooseberrypier.protocol.PoolHeartbeatProto;
 import org.gooseberrypier.protocol.PoolJobProto;
@@ -39,7 +40,8 @@
                     .setJob(encode(p.job()))
                     .setAgeMs(p.ageMs())
                     .setHandovers(p.earlierOwners())
-                    .addAllDoneTasks(p.doneTasks());
+                    .addAllDoneTasks(p.doneTasks())
+                    .setAwaitedMs(encodeAwaited(p.awaitedMs()));
             return ToOwnerProto.newBuilder().setPresent(present).build();
         }
         if (message instanceof PoolMessage.HeartbeatReceived h) {
@@ -48,6 +50,11 @@
         if (message instanceof PoolMessage.ForwardsBegin) {
             return ToOwnerProto.newBuilder().setPresentsBegin(true).build();
         }
+        if (message instanceof PoolMessage.ExtendJob x) {
+            ExtendProto.Builder extend =
+                    ExtendProto.newBuilder().setJob(x.job()).setAwaitedMs(encodeAwaited(x.awaitedMs()));
+            return ToOwnerProto.newBuilder().setExtend(extend).build();
+        }
         PoolMessage.WithdrawJob w = (PoolMessage.WithdrawJob) message;
         return ToOwnerProto.newBuilder().setWithdraw(w.job()).build();
     }
@@ -58,12 +65,30 @@
             case HEARTBEAT_RECEIVED -> Optional.of(new PoolMessage.HeartbeatReceived(message.getHeartbeatReceived()));
             case WITHDRAW -> Optional.of(new PoolMessage.WithdrawJob(message.getWithdraw()));
             case PRESENTS_BEGIN -> Optional.of(new PoolMessage.ForwardsBegin());
+            case EXTEND ->
+                Optional.of(new PoolMessage.ExtendJob(
+                        message.getExtend().getJob(),
+                        decodeAwaited(message.getExtend().getAwaitedMs())));
             default -> Optional.empty();
         };
     }
 
     private static PoolMessage.ForwardJob decode(PresentProto p) {
-        return new PoolMessage.ForwardJob(decode(p.getJob()), p.getAgeMs(), p.getHandovers(), p.getDoneTasksList());
+        return new PoolMessage.ForwardJob(
+                decode(p.getJob()),
+                p.getAgeMs(),
+                p.getHandovers(),
+                p.getDoneTasksList(),
+                decodeAwaited(p.getAwaitedMs()));
+    }
+
+    /** Returns the time on the wire, where 0 stands for no limit; VMs of earlier versions leave it out. */
+    private static long encodeAwaited(long ms) {
+        return ms >= PoolMessage.ForwardJob.UNLIMITED / 2 ? 0 : Math.max(1, ms);
+    }
+
+    private static long decodeAwaited(long ms) {
+        return ms <= 0 ? PoolMessage.ForwardJob.UNLIMITED : Math.min(ms, PoolMessage.ForwardJob.UNLIMITED);
     }
 
     private static PoolJobProto encode(PoolJob job) {
--- a/org.gooseberrypier.server/src/test/java/org/gooseberrypier/server/pool/PoolMessageCodecTest.java
+++ b/org.gooseberrypier.server/src/test/java/org/gooseberrypier/server/pool/PoolMessageCodecTest.java
@@ -41,7 +41,12 @@
 
     @Test
     public void messagesToTheOwnerAreDecodedAsTheyWereEncoded() {
-        PoolMessage.ToOwner forward = new PoolMessage.ForwardJob(JOB, 120, 2, List.of(0, 7));
+        PoolMessage.ToOwner forward = new PoolMessage.ForwardJob(JOB, 120, 2, List.of(0, 7), 1_500);
+        PoolMessage.ToOwner unlimited =
+                new PoolMessage.ForwardJob(JOB, 120, 2, List.of(), PoolMessage.ForwardJob.UNLIMITED);
+        assertEquals(PoolMessageCodec.decode(PoolMessageCodec.encode(unlimited)), Optional.of(unlimited));
+        PoolMessage.ToOwner extend = new PoolMessage.ExtendJob("job", 1_500);
+        assertEquals(PoolMessageCodec.decode(PoolMessageCodec.encode(extend)), Optional.of(extend));
         assertEquals(PoolMessageCodec.decode(PoolMessageCodec.encode(forward)), Optional.of(forward));
         PoolMessage.ToOwner withdraw = new PoolMessage.WithdrawJob("job");
         assertEquals(PoolMessageCodec.decode(PoolMessageCodec.encode(withdraw)), Optional.of(withdraw));
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/EntryController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/EntryController.java
@@ -59,6 +59,8 @@
         private final long arrivedAtMs;
         private final Set<Long> callers = new LinkedHashSet<>();
         private final Set<Integer> doneTasks = new TreeSet<>();
+        /** The latest deadline of its callers, in milliseconds; calls that have ended count too. */
+        private long deadlineMs = Long.MIN_VALUE;
         /** The number of VMs to which the job was forwarded and which may have admitted it. */
         private int earlierOwners;
         /** How often the job was forwarded. */
@@ -113,9 +115,11 @@
         nextDeadlineMs = Math.min(nextDeadlineMs, deadlineMs);
         if (job != null) {
             job.callers.add(event.call());
+            extend(job, deadlineMs);
             return;
         }
         job = new EntryJob(spec, board.now);
+        job.deadlineMs = deadlineMs;
         job.callers.add(event.call());
         jobs.put(spec.id(), job);
         if (ownerLinked) {
@@ -123,6 +127,15 @@
         }
     }
 
+    private void extend(EntryJob job, long deadlineMs) {
+        if (deadlineMs > job.deadlineMs) {
+            job.deadlineMs = deadlineMs;
+            if (ownerLinked) {
+                board.sendToOwner(new PoolMessage.ExtendJob(job.spec.id(), deadlineMs - board.now));
+            }
+        }
+    }
+
     void onCallerDisconnected(long call) {
         endCall(call, "caller_gone");
     }
@@ -188,7 +201,11 @@
 
     private void forward(EntryJob job) {
         board.sendToOwner(new PoolMessage.ForwardJob(
-                job.spec, board.now - job.arrivedAtMs, job.earlierOwners, new ArrayList<>(job.doneTasks)));
+                job.spec,
+                board.now - job.arrivedAtMs,
+                job.earlierOwners,
+                new ArrayList<>(job.doneTasks),
+                job.deadlineMs - board.now));
         job.earlierOwners++;
         job.forwards++;
     }
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
@@ -98,9 +98,9 @@
         }
         OwnedJob known = board.jobs.get(spec.id());
         if (known != null && known.ending) {
-            known.resubmissions.put(from, new OwnedJob.Resubmission(link, message));
+            known.resubmissions.put(from, new OwnedJob.Resubmission(link, message, board.now));
         } else if (known != null) {
-            subscribe(known, from, link);
+            subscribe(known, from, link, message);
             if (message.hadEarlierOwner()) {
                 updateResumed(known, message);
             }
@@ -109,9 +109,19 @@
         }
     }
 
-    private void subscribe(OwnedJob job, VmIncarnation vm, long link) {
+    private void subscribe(OwnedJob job, VmIncarnation vm, long link, PoolMessage.ForwardJob message) {
         long downSinceMs = linkedVms.isCurrent(vm, link) ? 0 : board.now;
-        job.subscribers.put(vm, new OwnedJob.Subscription(link, board.now, downSinceMs, board.now));
+        job.subscribers.put(
+                vm,
+                new OwnedJob.Subscription(link, board.now, downSinceMs, board.now, board.now + message.awaitedMs()));
+    }
+
+    /** Handles another caller of a job, which waits for longer. */
+    void onExtendJob(VmIncarnation from, PoolMessage.ExtendJob message) {
+        OwnedJob job = board.jobs.get(message.job());
+        if (job != null) {
+            job.subscribers.computeIfPresent(from, (vm, s) -> s.extended(board.now + message.awaitedMs()));
+        }
     }
 
     /** Updates a known job that another owner may have had in the meantime. */
@@ -149,7 +159,7 @@
             }
         }
         outcomes.remove(spec.id());
-        subscribe(job, from, link);
+        subscribe(job, from, link, message);
         board.jobs.put(spec.id(), job);
         if (mayHaveRun) {
             resume(job, from, message);
@@ -250,24 +260,31 @@
         }
     }
 
-    /** Removes the entry VMs of a job whose links have been down for too long, and ends the job after the last of them. */
+    /**
+     * Removes the entry VMs of a job whose links have been down for too long or whose callers' deadlines have passed, and ends the
+     * job after the last of them.
+     */
     private void removeDisconnected(OwnedJob job) {
         List<VmIncarnation> lost = new ArrayList<>();
         job.subscribers.forEach((vm, s) -> {
             boolean down = s.downSinceMs() > 0 && board.now - s.downSinceMs() > ENTRY_RECONNECT_TIMEOUT_MS;
-            if (down || board.now - linkedVms.heardMs(vm, s, board.now) > MAX_UNHEARD_MS) {
+            boolean overdue = board.now >= s.untilMs();
+            if (down || overdue || board.now - linkedVms.heardMs(vm, s, board.now) > MAX_UNHEARD_MS) {
                 lost.add(vm);
             }
         });
+        String why = "entry VM not linked";
         for (VmIncarnation vm : lost) {
             OwnedJob.Subscription s = job.subscribers.remove(vm);
-            job.awaitedUntilMs = Math.max(job.awaitedUntilMs, linkedVms.heardMs(vm, s, board.now));
+            long awaitedUntilMs = Math.min(s.untilMs(), linkedVms.heardMs(vm, s, board.now));
+            job.awaitedUntilMs = Math.max(job.awaitedUntilMs, awaitedUntilMs);
+            why = board.now >= s.untilMs() ? "not awaited any more" : why;
             // If the VM was only late, its callers must learn that the job does not go on.
             board.sendToEntry(
                     vm, new PoolMessage.JobFinished(job.spec.id(), new JobOutcome.Unknown("link interrupted")));
         }
         if (job.subscribers.isEmpty()) {
-            endJob(job, "entry VM not linked");
+            endJob(job, why);
         }
     }
 
@@ -296,7 +313,8 @@
             return;
         }
         board.jobs.remove(job.spec.id());
-        job.resubmissions.forEach((vm, r) -> onForwardJob(vm, r.link(), r.message()));
+        job.resubmissions.forEach(
+                (vm, r) -> onForwardJob(vm, r.link(), r.message().delayed(board.now - r.receivedMs())));
     }
 
     private void sendOutcome(OwnedJob job, JobOutcome outcome) {
@@ -563,12 +581,17 @@
         String awaitedBy = awaitingVm(job)
                 .map(e ->
                         " vm=" + e.getKey().address() + " link=" + e.getValue().link() + " heard_ms_ago="
-                                + (board.now - linkedVms.heardMs(e.getKey(), e.getValue(), board.now)))
+                                + (board.now - linkedVms.heardMs(e.getKey(), e.getValue(), board.now)) + " awaited_ms="
+                                + describeWait(e.getValue().untilMs() - board.now))
                 .orElse("");
         board.log("event=tasks_started job=" + job.spec.id() + " tasks=" + placed.size() + " runs=" + runs + " token="
                 + board.token + " age_ms=" + (board.now - job.arrivedAtMs) + " resumed=" + job.resumed + awaitedBy);
     }
 
+    private static String describeWait(long ms) {
+        return ms >= PoolMessage.ForwardJob.UNLIMITED / 2 ? "unlimited" : Long.toString(ms);
+    }
+
     /** Returns whether an entry VM certainly waits for the job at this owner. */
     private boolean isAwaited(OwnedJob job) {
         return awaitingVm(job).isPresent();
@@ -578,7 +601,8 @@
     private Optional<Map.Entry<VmIncarnation, OwnedJob.Subscription>> awaitingVm(OwnedJob job) {
         for (Map.Entry<VmIncarnation, OwnedJob.Subscription> e : job.subscribers.entrySet()) {
             OwnedJob.Subscription s = e.getValue();
-            if (s.downSinceMs() == 0 && linkedVms.mayStartFor(e.getKey(), s.link())) {
+            boolean awaited = s.downSinceMs() == 0 && board.now < s.untilMs();
+            if (awaited && linkedVms.mayStartFor(e.getKey(), s.link())) {
                 return Optional.of(e);
             }
         }
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseLimit.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseLimit.java
@@ -58,11 +58,15 @@
         return leaseMs(e, now) >= MIN_START_MS;
     }
 
-    /** Returns the latest time at which an entry VM certainly waited for a job, in milliseconds. */
+    /**
+     * Returns the latest time at which an entry VM certainly waited for a job, in milliseconds: when it was last heard, and no
+     * later than the deadline of its callers, whatever became of the withdrawal.
+     */
     private long awaitedUntilMs(OwnedJob job, long now) {
         long untilMs = job.awaitedUntilMs;
         for (Map.Entry<VmIncarnation, OwnedJob.Subscription> s : job.subscribers.entrySet()) {
-            untilMs = Math.max(untilMs, linkedVms.heardMs(s.getKey(), s.getValue(), now));
+            long heardMs = linkedVms.heardMs(s.getKey(), s.getValue(), now);
+            untilMs = Math.max(untilMs, Math.min(heardMs, s.getValue().untilMs()));
         }
         return untilMs;
     }
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnedJob.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/OwnedJob.java
@@ -50,8 +50,9 @@
      *
      * @param link the number of the link over which the VM forwarded it
      * @param message the message
+     * @param receivedMs when it was received, in milliseconds
      */
-    record Resubmission(long link, PoolMessage.ForwardJob message) {}
+    record Resubmission(long link, PoolMessage.ForwardJob message, long receivedMs) {}
 
     /**
      * Interest of an entry VM in the job. It ends with the link, since a VM without a link cannot withdraw the job.
@@ -60,24 +61,29 @@
      * @param forwardedMs when the VM forwarded the job, in milliseconds
      * @param downSinceMs since when the link is down, in milliseconds, or 0 if it is up
      * @param heardMs when the VM was last heard of before the link was lost, in milliseconds; of no meaning while it is up
+     * @param untilMs until when a caller of the VM waits at most, in milliseconds
      */
-    record Subscription(long link, long forwardedMs, long downSinceMs, long heardMs) {
+    record Subscription(long link, long forwardedMs, long downSinceMs, long heardMs, long untilMs) {
 
         /** Stands for no link of the VM, so that the subscription stays down whatever link comes up. */
         private static final long NO_LINK = -1;
 
         Subscription voided() {
-            return new Subscription(NO_LINK, forwardedMs, downSinceMs, heardMs);
+            return new Subscription(NO_LINK, forwardedMs, downSinceMs, heardMs, untilMs);
         }
 
         Subscription up() {
-            return new Subscription(link, forwardedMs, 0, heardMs);
+            return new Subscription(link, forwardedMs, 0, heardMs, untilMs);
         }
 
         Subscription down(long sinceMs, long lastHeardMs) {
             return downSinceMs == 0
-                    ? new Subscription(link, forwardedMs, sinceMs, lastHeardMs)
-                    : new Subscription(link, forwardedMs, Math.min(downSinceMs, sinceMs), heardMs);
+                    ? new Subscription(link, forwardedMs, sinceMs, lastHeardMs, untilMs)
+                    : new Subscription(link, forwardedMs, Math.min(downSinceMs, sinceMs), heardMs, untilMs);
+        }
+
+        Subscription extended(long toMs) {
+            return new Subscription(link, forwardedMs, downSinceMs, heardMs, Math.max(untilMs, toMs));
         }
     }
 
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/PoolEngine.java
@@ -177,6 +177,8 @@
             jobs.onForwardJob(vm, link, p);
         } else if (message instanceof PoolMessage.WithdrawJob w) {
             jobs.onWithdrawJob(vm, w.job());
+        } else if (message instanceof PoolMessage.ExtendJob x) {
+            jobs.onExtendJob(vm, x);
         } else if (message instanceof PoolMessage.ForwardsBegin) {
             jobs.onForwardsBegin(vm);
         } else if (message instanceof PoolMessage.HeartbeatReceived h && linkedVms.onAcknowledged(vm, h.sentAtMs())) {
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/PoolMessage.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/PoolMessage.java
@@ -19,14 +19,30 @@
      * @param ageMs the time since its caller submitted it, in milliseconds
      * @param earlierOwners the number of earlier owners of the job, under which tasks may have run or still run
      * @param doneTasks the indexes of the tasks that are known to be done
+     * @param awaitedMs how long a caller waits for the job at most from now on, in milliseconds, or {@link #UNLIMITED}; the owner
+     *     starts no task of it after that, and runs of it end
      */
-    record ForwardJob(PoolJob job, long ageMs, int earlierOwners, List<Integer> doneTasks) implements ToOwner {
+    record ForwardJob(PoolJob job, long ageMs, int earlierOwners, List<Integer> doneTasks, long awaitedMs)
+            implements ToOwner {
+
+        /** Time for which a job is awaited whose caller does not tell how long it waits. */
+        public static final long UNLIMITED = PoolEvent.JobSubmitted.UNLIMITED;
 
         /** Makes an immutable copy of the list. */
         public ForwardJob {
             doneTasks = List.copyOf(doneTasks);
         }
 
+        /**
+         * Returns the message as it is some time after it was received.
+         *
+         * @param ms the time, in milliseconds
+         * @return the message with a higher age and less time for which the job is awaited
+         */
+        public ForwardJob delayed(long ms) {
+            return new ForwardJob(job, ageMs + ms, earlierOwners, doneTasks, awaitedMs - ms);
+        }
+
         /**
          * Returns whether an earlier owner had the job.
          *
@@ -37,6 +53,15 @@
         }
     }
 
+    /**
+     * Extends the time for which a forwarded job is awaited, for another caller.
+     *
+     * @param job the identifier of the job
+     * @param awaitedMs how long a caller waits for the job at most from now on, in milliseconds, or
+     *     {@link ForwardJob#UNLIMITED}
+     */
+    record ExtendJob(String job, long awaitedMs) implements ToOwner {}
+
     /**
      * Begins the jobs that the sender forwards over a new link. What the owner received before over the same link is void: the
      * sender may have sent it before it learned of the loss of the earlier link, and does not withdraw it.
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/AbandonedJobTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/AbandonedJobTest.java
@@ -46,6 +46,17 @@
         return broken;
     }
 
+    /** A job ends at the deadline that its forward names, although nobody tells its owner. */
+    @Test
+    public void aJobEndsAtTheDeadlineOfItsCallerWithoutAWithdrawal() {
+        for (long patienceMs = 700; patienceMs <= 1_900; patienceMs += 200) {
+            assertEquals(
+                    violations(patienceMs, (s, entry) -> s.links.losesWithdrawals = true),
+                    List.of(),
+                    "patience " + patienceMs);
+        }
+    }
+
     /** The caller leaves unseen; its VM skips ticks, since its event loop was blocked, and acknowledges heartbeats. */
     @Test
     public void aVmThatSkipsTicksDoesNotVouchForACallerThatHasLeft() {
@@ -54,8 +65,7 @@
             assertEquals(
                     violations(
                             patienceMs,
-                            (s, entry) -> s.after(
-                                    skippedAfterMs, () -> entry.ticksSkippedUntilMs = s.nowMs() + 1_500)),
+                            (s, entry) -> s.after(skippedAfterMs, () -> entry.ticksSkippedUntilMs = s.nowMs() + 1_500)),
                     List.of(),
                     "patience " + patienceMs);
         }
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/CallerDeadlineTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/CallerDeadlineTest.java
@@ -76,9 +76,11 @@
         submit(1, 500);
         submit(2, 800);
         tickUntil(10_799);
-        assertEquals(sent().size(), 1, "only the forward: " + sent());
+        assertEquals(sent().size(), 2, "only the forward and its extension: " + sent());
+        assertEquals(((PoolMessage.ForwardJob) sent().get(0)).awaitedMs(), 500);
+        assertEquals(sent().get(1), new PoolMessage.ExtendJob("job-1", 800));
         tickUntil(10_800);
-        assertEquals(sent().get(1), new PoolMessage.WithdrawJob("job-1"));
+        assertEquals(sent().get(2), new PoolMessage.WithdrawJob("job-1"));
         assertEquals(answers().size(), 2);
         assertTrue(
                 answers().stream().allMatch(JobOutcome.Unknown.class::isInstance),
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedLinks.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedLinks.java
@@ -16,6 +16,9 @@
     /** How many links that had been up for the silence timeout were replaced at a peer that had not noticed their loss. */
     int replaced;
 
+    /** Whether withdrawals of jobs are lost, while all other messages pass. */
+    boolean losesWithdrawals;
+
     /** How many messages arrived late, after a cut, and how many of them forwarded a job. */
     int late;
 
@@ -223,6 +226,9 @@
     }
 
     void sendToOwner(SimulatedVm vm, PoolMessage.ToOwner message) {
+        if (losesWithdrawals && message instanceof PoolMessage.WithdrawJob) {
+            return;
+        }
         SimulatedLink link = vm.link;
         SimulatedLink fading = vm.fadingLink;
         if (link == null
