--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/CrossingMessagesTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/CrossingMessagesTest.java
@@ -167,4 +167,18 @@
         run(2_000);
         assertEquals(started, List.of());
     }
+
+    /** The core of the VM forwards a job when the next stream is open, and handles the loss of the earlier one after that. */
+    @Test(groups = "known-red")
+    public void aJobThatWasForwardedBeforeItsLinkWasKnownToBeUpIsNotStarted() {
+        openStream();
+        submit(1, PoolEvent.JobSubmitted.UNLIMITED);
+        toEntry(new PoolEvent.OwnerLinkDown(OWNER.address(), ownerLink, false));
+        toEntry(new PoolEvent.CallerDisconnected(1));
+        toEntry(new PoolEvent.OwnerLinkUp(OWNER.address(), ownerLink));
+        run(RESUBMISSION_DELAY_MS);
+        addEndpoint();
+        run(2_000);
+        assertEquals(started, List.of());
+    }
 }
