--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/CrossingMessagesTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/CrossingMessagesTest.java
@@ -181,4 +181,16 @@
         run(2_000);
         assertEquals(started, List.of());
     }
+
+    /** A VM skips its ticks while its event loop counts as blocked, and acknowledges the heartbeats that it reads. */
+    @Test(groups = "known-red")
+    public void aJobOfAnOverdueCallerIsNotStartedWhileTheVmSkipsItsTicks() {
+        submit(1, 500);
+        run(100);
+        entryTicks = false;
+        run(400 + RESUBMISSION_DELAY_MS);
+        addEndpoint();
+        run(100);
+        assertEquals(started, List.of());
+    }
 }
