--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/CrossingMessagesTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/CrossingMessagesTest.java
@@ -193,4 +193,18 @@
         run(100);
         assertEquals(started, List.of());
     }
+
+    /** An answer to the forward of an earlier submission of the same job at the same VM comes late. */
+    @Test(groups = "known-red")
+    public void aJobIsWithdrawnAlthoughAnEarlierSubmissionOfItWasNotAdmitted() {
+        submit(1, PoolEvent.JobSubmitted.UNLIMITED);
+        toEntry(new PoolEvent.CallerDisconnected(1));
+        submit(2, PoolEvent.JobSubmitted.UNLIMITED);
+        toEntry(new PoolEvent.OwnerMessageReceived(OWNER.address(), ownerLink, new PoolMessage.JobNotAdmitted(JOB)));
+        toEntry(new PoolEvent.CallerDisconnected(2));
+        run(RESUBMISSION_DELAY_MS);
+        addEndpoint();
+        run(2_000);
+        assertEquals(started, List.of());
+    }
 }
