--- /dev/null
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/model/PoolModelTest.java
@@ -0,0 +1,71 @@
+package org.gooseberrypier.pool.model;
+
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+
+import org.testng.annotations.Test;
+
+/** tmp. */
+public class PoolModelTest {
+
+    @Test
+    public void survey() {
+        for (Rules r : List.of(Rules.PRESENT, Rules.BOUND_ALONE, Rules.BOUNDED)) {
+            for (boolean old : new boolean[] {false, true}) {
+                for (int second = 1; second <= 2; second++) {
+                    if (old && second == 1) {
+                        continue;
+                    }
+                    for (int deadline : new int[] {10, 60}) {
+                        report(new Scenario(r, Set.of(), 0, old, second, deadline, 0, 0, 3, 32));
+                        report(new Scenario(r, Set.of(), 0, old, second, deadline, 2, 0, 3, 32));
+                        for (Fault f : Fault.values()) {
+                            report(new Scenario(r, EnumSet.of(f), 1, old, second, deadline, 0, 0, 3, 32));
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    @Test
+    public void pairs() {
+        for (Rules r : List.of(Rules.PRESENT, Rules.BOUNDED, Rules.BOUND_ALONE)) {
+            for (boolean old : new boolean[] {false, true}) {
+                for (int deadline : new int[] {60, 10}) {
+                    for (Fault f : Fault.values()) {
+                        for (Fault g : Fault.values()) {
+                            if (f.compareTo(g) <= 0 && f != Fault.LEFT_UNSEEN && g != Fault.LEFT_UNSEEN) {
+                                report(new Scenario(
+                                        r,
+                                        EnumSet.of(f, g),
+                                        2,
+                                        old,
+                                        old ? 2 : 1,
+                                        deadline,
+                                        0,
+                                        0,
+                                        Integer.getInteger("lastCut", 1),
+                                        34));
+                            }
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    private static void report(Scenario s) {
+        long t = System.nanoTime();
+        Explorer.Result result = Explorer.explore(s);
+        System.out.println((result.trace().isEmpty() ? "HOLDS " : "BREAKS") + " "
+                + s.rules().name() + " " + s.faults()
+                + " entryOld=" + s.entryWithOldOwner() + " second=" + s.secondOwner() + " deadline=" + s.deadlineStep()
+                + " room=" + s.firstRoomStep() + " late=" + s.lateReadSteps() + " states=" + result.states() + " ms="
+                + (System.nanoTime() - t) / 1_000_000);
+        if (Boolean.getBoolean("trace")) {
+            result.trace().forEach(System.out::println);
+        }
+    }
+}
--- /dev/null
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/model/Rules.java
@@ -0,0 +1,22 @@
+package org.gooseberrypier.pool.model;
+
+/**
+ * Rules of owners and entry VMs that the model can switch.
+ *
+ * @param name the name in reports
+ * @param bounded whether a forward names for how long the job is awaited at most, and no order or lease goes beyond
+ * @param overdueFirst whether an entry VM ends overdue calls before it acknowledges a heartbeat
+ * @param withdrawsAnswered whether an entry VM withdraws a job that it has answered by an outcome of the owner
+ * @param streamBound whether a message is sent only on the stream that the entry VM's core knows to be up
+ */
+record Rules(String name, boolean bounded, boolean overdueFirst, boolean withdrawsAnswered, boolean streamBound) {
+
+    /** The rules of the present code. */
+    static final Rules PRESENT = new Rules("present", false, false, false, false);
+
+    /** The present rules with a bound that travels with the job, and without the gaps that the bound leaves. */
+    static final Rules BOUNDED = new Rules("bounded", true, true, true, true);
+
+    /** Only the bound that travels with the job. */
+    static final Rules BOUND_ALONE = new Rules("bound alone", true, false, false, false);
+}
