--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/model/Message.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/model/Message.java
@@ -28,6 +28,11 @@
         this(kind, stream, step, 0);
     }
 
+    @Override
+    public String toString() {
+        return kind + "@" + stream + (step == 0 ? "" : ":" + step);
+    }
+
     void appendTo(StringBuilder key) {
         key.append((char) (kind.ordinal() + 1))
                 .append((char) (stream + 1))
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/model/Scenario.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/model/Scenario.java
@@ -14,6 +14,7 @@
  * @param lateReadSteps by how much later the entry VM takes the deadline to be
  * @param firstRoomStep when the old owner has room for the job
  * @param lastCutStep the last step at which the cut may begin
+ * @param heals whether the cut may end within these steps
  * @param steps the number of steps
  */
 record Scenario(
@@ -26,6 +27,7 @@
         int lateReadSteps,
         int firstRoomStep,
         int lastCutStep,
+        boolean heals,
         int steps) {
 
     /** Time from the end of a call to the next submission of its caller, in steps. */
