--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/CrossingMessagesTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/CrossingMessagesTest.java
@@ -168,6 +168,27 @@
         assertEquals(started, List.of());
     }
 
+    /** The stream is replaced when the owner is about to end the jobs of the lost one; no event is handled late. */
+    @Test(groups = "known-red")
+    public void aJobThatWasAnsweredRightAfterItsStreamWasReplacedIsNotStarted() {
+        submit(1, PoolEvent.JobSubmitted.UNLIMITED);
+        run(100);
+        toOwner(new PoolEvent.EntryLinkDown(ENTRY, stream));
+        toEntry(new PoolEvent.OwnerLinkDown(OWNER.address(), ownerLink, false));
+        run(400);
+        openStream();
+        toOwner(new PoolEvent.Tick());
+        nowMs += 1;
+        toOwner(new PoolEvent.Tick());
+        toEntry(new PoolEvent.OwnerLinkUp(OWNER.address(), ownerLink));
+        readMessages();
+        assertEquals(answered, List.of(1L));
+        run(RESUBMISSION_DELAY_MS);
+        addEndpoint();
+        run(2_000);
+        assertEquals(started, List.of());
+    }
+
     /** The core of the VM forwards a job when the next stream is open, and handles the loss of the earlier one after that. */
     @Test(groups = "known-red")
     public void aJobThatWasForwardedBeforeItsLinkWasKnownToBeUpIsNotStarted() {
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/model/Entry.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/model/Entry.java
@@ -79,7 +79,7 @@
         openStep = now;
     }
 
-    /** Handles the events of the ring, then the tick. */
+    /** Handles the events of the ring; the tick comes after each of them. */
     void runCore(int now, Rules rules, List<Message> toOwner) {
         answered = false;
         if (now < coreLateUntil) {
@@ -87,8 +87,13 @@
         }
         for (Message m : ring) {
             handle(m, now, rules, toOwner);
+            tick(now, rules, toOwner);
         }
         ring.clear();
+        tick(now, rules, toOwner);
+    }
+
+    private void tick(int now, Rules rules, List<Message> toOwner) {
         if (now >= ticksSkippedUntil) {
             endOverdue(now, rules, toOwner);
         }
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/model/PoolModelTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/model/PoolModelTest.java
@@ -70,6 +70,47 @@
         }
     }
 
+    @Test
+    public void late() {
+        for (Rules r : List.of(Rules.PRESENT, Rules.BOUNDED)) {
+            for (boolean old : new boolean[] {false, true}) {
+                for (int late : new int[] {1, 2, 4, 8, 11, 12, 13}) {
+                    for (Fault f : List.of(Fault.STOP_LOST, Fault.STREAM_LOST, Fault.STALL_TO_OWNER)) {
+                        report(new Scenario(
+                                r, EnumSet.of(f), 1, old, old ? 2 : 1, 10, late, 0, old ? 10 : 0, false, 36));
+                    }
+                }
+            }
+        }
+    }
+
+    @Test
+    public void deep() {
+        for (boolean old : new boolean[] {false, true}) {
+            for (int deadline : new int[] {10, 60}) {
+                for (Rules r : List.of(
+                        new Rules("no bound", false, true, true, true),
+                        new Rules("ack first", true, false, true, true),
+                        new Rules("no withdrawal after answer", true, true, false, true),
+                        new Rules("any stream", true, true, true, false))) {
+                    for (Set<Fault> f : List.of(
+                            EnumSet.of(Fault.TICKS_SKIPPED, Fault.STOP_LOST),
+                            EnumSet.of(Fault.STREAM_LOST, Fault.CORE_LATE),
+                            EnumSet.of(Fault.STREAM_LOST, Fault.STALL_TO_OWNER),
+                            EnumSet.of(Fault.STALL_TO_ENTRY, Fault.CORE_LATE))) {
+                        report(new Scenario(r, f, 2, old, old ? 2 : 1, deadline, 0, 0, 0, false, 36));
+                    }
+                }
+            }
+        }
+        for (boolean old : new boolean[] {false, true}) {
+            report(new Scenario(
+                    Rules.BOUNDED,
+                    EnumSet.of(Fault.STREAM_LOST, Fault.STALL_TO_OWNER, Fault.STALL_TO_ENTRY, Fault.CORE_LATE),
+                    3, old, old ? 2 : 1, 10, 0, 0, 0, false, 36));
+        }
+    }
+
     private static void report(Scenario s) {
         long t = System.nanoTime();
         Explorer.Result result = Explorer.explore(s);
