--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/model/Owner.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/model/Owner.java
@@ -78,7 +78,7 @@
     private void admit(Message m, int now, Rules rules) {
         hasJob = true;
         jobLink = link;
-        forwarded = now;
+        forwarded = rules.heardByHeartbeats() ? heard : now;
         downSince = NEVER;
         resumed = m.step() > 0 ? now : resumed;
         endsBy = rules.bounded() ? now + m.left() : Integer.MAX_VALUE / 1_000;
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/model/PoolModelTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/model/PoolModelTest.java
@@ -132,8 +132,16 @@
     public void theBoundAloneIsNotEnough() {
         Set<Fault> crossing = EnumSet.of(Fault.STREAM_LOST, Fault.STALL_TO_OWNER);
         Set<Fault> nextStream = EnumSet.of(Fault.STREAM_LOST, Fault.CORE_LATE);
-        assertBreaks(scenario(new Rules("", true, true, false, true), crossing, 2, Side.NEW, LATE));
-        assertBreaks(scenario(new Rules("", true, true, true, false), nextStream, 2, Side.NEW, LATE));
+        assertBreaks(scenario(new Rules("", true, true, false, true, true), crossing, 2, Side.NEW, LATE));
+        assertBreaks(scenario(new Rules("", true, true, true, false, true), nextStream, 2, Side.NEW, LATE));
+    }
+
+    /** A forward that is received late counts as awaited too long if its withdrawal is lost and its run can't be stopped. */
+    @Test
+    public void theReceiptOfAForwardDoesNotShowThatItIsAwaited() {
+        Set<Fault> faults = EnumSet.of(Fault.STREAM_LOST, Fault.STALL_TO_OWNER, Fault.STOP_LOST);
+        assertBreaks(scenario(new Rules("", true, true, true, true, false), faults, 3, Side.OLD, LATE));
+        assertHolds(scenario(Rules.BOUNDED, faults, 3, Side.OLD, LATE));
     }
 
     /** The entry VM counts the deadline from its reading of the request; the present rules leave it less than 0.2 s. */
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/model/Rules.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/model/Rules.java
@@ -8,12 +8,14 @@
  * @param overdueFirst whether an entry VM ends overdue calls before it acknowledges a heartbeat
  * @param withdrawsAnswered whether an entry VM withdraws a job that it has answered by an outcome of the owner
  * @param streamBound whether a message is sent only on the stream that the entry VM's core knows to be up
+ * @param heardByHeartbeats whether a job counts as awaited at the time of the last acknowledged heartbeat only, and not also when
+ *     its forward is received, which may be long after it was sent
  */
-record Rules(String name, boolean bounded, boolean overdueFirst, boolean withdrawsAnswered, boolean streamBound) {
+record Rules(String name, boolean bounded, boolean overdueFirst, boolean withdrawsAnswered, boolean streamBound, boolean heardByHeartbeats) {
 
     /** The rules of the present code. */
-    static final Rules PRESENT = new Rules("present", false, false, false, false);
+    static final Rules PRESENT = new Rules("present", false, false, false, false, false);
 
     /** The present rules with a bound that travels with the job, and without the gaps that the bound leaves. */
-    static final Rules BOUNDED = new Rules("bounded", true, true, true, true);
+    static final Rules BOUNDED = new Rules("bounded", true, true, true, true, true);
 }
