Count a caller's deadline from the first byte of its request, also while the event loop was blocked

Time in the accept queue, in the socket's buffer before a blocked event loop, between the first and the last byte, and in the core's ring was not counted (a pause of the core alone was, above 0.4 s). The VM awaited the job longer than its caller by as much.

Change: HttpCall.arrivedNanos is the time at which the first byte was read, less the time during which the loop was blocked before (LoopStalls, a task each 20 ms on each loop of the callers' server). JobSubmitted carries it, so that the ring counts. What is left is as before: a request for which nothing is left is refused at once, ready answers are delivered late. A pipelined request whose body comes late now also has the timeout of 408 from its own beginning.

Left uncounted: a blockage of at most 30 ms (20 ms of interval and 10 ms of tolerance; a longer one is counted from the run of the task before it, so up to 30 ms too early); connections that the loop accepts later than 100 ms after a blockage (16 in each pass); a pipelined request whose first bytes, less than its head, came with the end of the one before it, until its next bytes; requests behind 16 unanswered ones on one connection; the way through the network, with lost packets sent again, and a full accept queue; a suspension that the steady clock does not count. Requests read within 100 ms after a blockage are counted from its beginning also if they came later.

Failed before: LateRequestTest (2 of 2 tests: 504 instead of 503; ended 3,518 ms after the first byte, for a caller that waits 2,000 ms). The tests of HttpServerTest and CallerDeadlineTest use values that did not exist before. Result: org.gooseberrypier 251, http 43, server 220, platform 25 tests, none failed (mvn verify -pl platform -am). The cost in processor time was not measured.

--- a/org.gooseberrypier.http/src/main/java/org/gooseberrypier/http/HttpCall.java
+++ b/org.gooseberrypier.http/src/main/java/org/gooseberrypier/http/HttpCall.java
@@ -18,15 +18,17 @@
     private final HttpHeaders headers;
     private final byte[] body;
     private final boolean keepAlive;
+    private final long arrivedNanos;
     private final CompletableFuture<HttpReply> reply = new CompletableFuture<>();
     private final CompletableFuture<Void> disconnected = new CompletableFuture<>();
 
-    HttpCall(FullHttpRequest request) {
+    HttpCall(FullHttpRequest request, long arrivedNanos) {
         method = request.method().name();
         target = request.uri();
         headers = request.headers();
         body = ByteBufUtil.getBytes(request.content());
         keepAlive = HttpUtil.isKeepAlive(request);
+        this.arrivedNanos = arrivedNanos;
     }
 
     /** Creates a placeholder for a refused request, which is never passed to a handler. */
@@ -36,6 +38,7 @@
         headers = EmptyHttpHeaders.INSTANCE;
         body = new byte[0];
         keepAlive = false;
+        arrivedNanos = System.nanoTime();
     }
 
     /**
@@ -85,6 +88,15 @@
         return body;
     }
 
+    /**
+     * Returns the earliest time at which the first byte of the request may have arrived at this machine, as far as is known.
+     *
+     * @return the time by {@link System#nanoTime}
+     */
+    public long arrivedNanos() {
+        return arrivedNanos;
+    }
+
     /**
      * Sends the reply; only the first reply to a request is sent, further ones are ignored.
      *
--- a/org.gooseberrypier.http/src/main/java/org/gooseberrypier/http/HttpServer.java
+++ b/org.gooseberrypier.http/src/main/java/org/gooseberrypier/http/HttpServer.java
@@ -1,10 +1,15 @@
 package org.gooseberrypier.http;
 
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.LongUnaryOperator;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -12,6 +17,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.ChannelGroupFuture;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -19,6 +25,8 @@
 import io.netty.handler.flow.FlowControlHandler;
 import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.handler.timeout.WriteTimeoutHandler;
+import io.netty.util.concurrent.EventExecutor;
+import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.GlobalEventExecutor;
 
 /** Listens on one address and passes each complete request to a handler. */
@@ -29,11 +37,13 @@
     private final Channel listener;
     private final ChannelGroup connections;
     private final AtomicBoolean draining;
+    private final List<Future<?>> timers;
 
-    private HttpServer(Channel listener, ChannelGroup connections, AtomicBoolean draining) {
+    private HttpServer(Channel listener, ChannelGroup connections, AtomicBoolean draining, List<Future<?>> timers) {
         this.listener = listener;
         this.connections = connections;
         this.draining = draining;
+        this.timers = timers;
     }
 
     /**
@@ -84,7 +94,7 @@
         for (Channel c : connections) {
             c.pipeline().fireUserEventTriggered(HttpServerConnection.DRAIN);
         }
-        return closed.completeOnTimeout(null, timeoutMs, TimeUnit.MILLISECONDS).thenRun(connections::close);
+        return closed.completeOnTimeout(null, timeoutMs, TimeUnit.MILLISECONDS).thenRun(this::closeConnections);
     }
 
     /**
@@ -100,7 +110,12 @@
     @Override
     public void close() {
         stopAccepting();
-        connections.close().syncUninterruptibly();
+        closeConnections().syncUninterruptibly();
+    }
+
+    private ChannelGroupFuture closeConnections() {
+        timers.forEach(t -> t.cancel(false));
+        return connections.close();
     }
 
     /** Builds and opens an {@link HttpServer}. */
@@ -115,6 +130,7 @@
         private long requestTimeoutMs = 30_000;
         private long idleTimeoutMs = 120_000;
         private long writeTimeoutMs = 30_000;
+        private boolean countsBlockedLoops;
         private HttpErrorFormat errors = (status, detail) -> HttpReply.text(status, "text/plain", detail + "\n");
 
         private Builder(EventLoopGroup group, HttpHandler handler) {
@@ -201,6 +217,17 @@
             return this;
         }
 
+        /**
+         * Makes {@link HttpCall#arrivedNanos} include time during which the event loops are blocked; a task that runs each
+         * 20 ms on each of them notices that.
+         *
+         * @return this builder
+         */
+        public Builder countBlockedLoops() {
+            countsBlockedLoops = true;
+            return this;
+        }
+
         /**
          * Sets the format of the replies to requests that the server refuses before they reach the handler.
          *
@@ -221,6 +248,11 @@
         public HttpServer open(HostPort address) {
             ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
             AtomicBoolean draining = new AtomicBoolean();
+            Map<EventExecutor, LoopStalls> stalls = new HashMap<>();
+            List<Future<?>> timers = new ArrayList<>();
+            if (countsBlockedLoops) {
+                group.forEach(loop -> timers.add(watch(loop, stalls)));
+            }
             ServerBootstrap bootstrap = new ServerBootstrap();
             KeepAlive.apply(bootstrap);
             Channel listener = bootstrap
@@ -229,11 +261,21 @@
                     .option(ChannelOption.SO_BACKLOG, BACKLOG)
                     .option(ChannelOption.SO_REUSEADDR, true)
                     .childOption(ChannelOption.TCP_NODELAY, true)
-                    .childHandler(new Initializer(this, connections, draining))
+                    .childHandler(new Initializer(this, connections, draining, stalls))
                     .bind(address.toSocketAddress())
                     .syncUninterruptibly()
                     .channel();
-            return new HttpServer(listener, connections, draining);
+            return new HttpServer(listener, connections, draining, timers);
+        }
+
+        private static Future<?> watch(EventExecutor loop, Map<EventExecutor, LoopStalls> stalls) {
+            LoopStalls s = new LoopStalls(System.nanoTime());
+            stalls.put(loop, s);
+            return loop.scheduleWithFixedDelay(
+                    () -> s.onRun(System.nanoTime()),
+                    LoopStalls.INTERVAL_MS,
+                    LoopStalls.INTERVAL_MS,
+                    TimeUnit.MILLISECONDS);
         }
     }
 
@@ -245,16 +287,27 @@
         private final Builder settings;
         private final ChannelGroup connections;
         private final AtomicBoolean draining;
+        private final Map<EventExecutor, LoopStalls> stalls;
         private final BodyBudget budget;
         private final AtomicInteger open = new AtomicInteger();
 
-        Initializer(Builder settings, ChannelGroup connections, AtomicBoolean draining) {
+        Initializer(
+                Builder settings,
+                ChannelGroup connections,
+                AtomicBoolean draining,
+                Map<EventExecutor, LoopStalls> stalls) {
             this.settings = settings;
             this.connections = connections;
             this.draining = draining;
+            this.stalls = stalls;
             this.budget = new BodyBudget(settings.maxBufferedBytes);
         }
 
+        private LongUnaryOperator earliestArrival(Channel channel) {
+            LoopStalls s = stalls.get(channel.eventLoop());
+            return s == null ? LongUnaryOperator.identity() : s::earliestArrivalNanos;
+        }
+
         @Override
         protected void initChannel(Channel channel) {
             int openNow = open.incrementAndGet();
@@ -268,7 +321,7 @@
                     .setMaxInitialLineLength(MAX_LINE_BYTES)
                     .setMaxHeaderSize(settings.maxHeaderBytes)
                     .setMaxChunkSize(MAX_CHUNK_BYTES);
-            RequestTimer timer = new RequestTimer(settings.requestTimeoutMs);
+            RequestTimer timer = new RequestTimer(settings.requestTimeoutMs, earliestArrival(channel));
             channel.pipeline()
                     .addLast(new IdleStateHandler(0, 0, settings.idleTimeoutMs, TimeUnit.MILLISECONDS))
                     .addLast(new WriteTimeoutHandler(settings.writeTimeoutMs, TimeUnit.MILLISECONDS))
--- a/org.gooseberrypier.http/src/main/java/org/gooseberrypier/http/HttpServerConnection.java
+++ b/org.gooseberrypier.http/src/main/java/org/gooseberrypier/http/HttpServerConnection.java
@@ -58,7 +58,7 @@
             refuse(context, refusal(request.decoderResult().cause()));
             return;
         }
-        HttpCall call = new HttpCall(request);
+        HttpCall call = new HttpCall(request, timer.takeArrivalNanos());
         pending.add(call);
         call.replyFuture().thenRun(() -> context.executor().execute(() -> flush(context)));
         updateAutoRead(context);
--- a/org.gooseberrypier.http/src/main/java/org/gooseberrypier/http/RequestAggregator.java
+++ b/org.gooseberrypier.http/src/main/java/org/gooseberrypier/http/RequestAggregator.java
@@ -1,5 +1,6 @@
 package org.gooseberrypier.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.FullHttpMessage;
@@ -23,9 +24,15 @@
         this.timer = timer;
     }
 
+    @Override
+    protected FullHttpMessage beginAggregation(HttpMessage start, ByteBuf content) throws Exception {
+        timer.onRequestBegan();
+        return super.beginAggregation(start, content);
+    }
+
     @Override
     protected void finishAggregation(FullHttpMessage aggregated) throws Exception {
-        timer.stop();
+        timer.onRequestComplete();
         super.finishAggregation(aggregated);
     }
 
--- a/org.gooseberrypier.http/src/test/java/org/gooseberrypier/http/HttpServerTest.java
+++ b/org.gooseberrypier.http/src/test/java/org/gooseberrypier/http/HttpServerTest.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoopGroup;
@@ -239,6 +240,81 @@
         }
     }
 
+    @Test
+    public void aRequestArrivesWithItsFirstByte() throws Exception {
+        try (HttpServer server = builder(calls::add).open(ANY_PORT);
+                RawClient client = new RawClient(server.address())) {
+            long beforeNanos = System.nanoTime();
+            client.write("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n");
+            Thread.sleep(400);
+            long lastNanos = System.nanoTime();
+            client.write("hi");
+            awaitCalls(1);
+            long arrivedNanos = calls.get(0).arrivedNanos();
+            assertTrue(arrivedNanos - beforeNanos >= 0 && arrivedNanos - lastNanos < 0);
+        }
+    }
+
+    /** The second request begins in the bytes that end the first one. */
+    @Test
+    public void pipelinedRequestsArriveEachWithItsFirstByte() throws Exception {
+        try (HttpServer server = builder(calls::add).open(ANY_PORT);
+                RawClient client = new RawClient(server.address())) {
+            String post = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n";
+            client.write(post);
+            Thread.sleep(100);
+            long middleNanos = System.nanoTime();
+            client.write("hi" + post);
+            Thread.sleep(100);
+            long lastNanos = System.nanoTime();
+            client.write("hi" + post + "hi");
+            awaitCalls(3);
+            assertTrue(calls.get(0).arrivedNanos() - middleNanos < 0);
+            assertTrue(calls.get(1).arrivedNanos() - middleNanos >= 0);
+            assertTrue(calls.get(1).arrivedNanos() - lastNanos < 0);
+            assertTrue(calls.get(2).arrivedNanos() - lastNanos >= 0);
+        }
+    }
+
+    @DataProvider
+    public Object[][] connections() {
+        return new Object[][] {{"accepted"}, {"in the accept queue"}};
+    }
+
+    /** The bytes wait in the kernel, or the connection does, while the event loop is blocked. */
+    @Test(dataProvider = "connections")
+    public void aRequestThatWaitsForABlockedLoopMayHaveArrivedWhenTheLoopWasBlocked(String connection)
+            throws Exception {
+        try (HttpServer server = builder(calls::add).countBlockedLoops().open(ANY_PORT);
+                RawClient open = new RawClient(server.address())) {
+            await(() -> server.connections() == 1);
+            Thread.sleep(200);
+            long beforeNanos = System.nanoTime();
+            CountDownLatch blocked = new CountDownLatch(1);
+            group.execute(() -> block(blocked, 600));
+            blocked.await();
+            try (RawClient late = new RawClient(server.address())) {
+                RawClient client = connection.equals("accepted") ? open : late;
+                client.write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+                long sentNanos = System.nanoTime();
+                awaitCalls(1);
+                long earlyMs =
+                        TimeUnit.NANOSECONDS.toMillis(sentNanos - calls.get(0).arrivedNanos());
+                assertTrue(earlyMs >= 0, "counted from " + -earlyMs + " ms after it was sent");
+                assertTrue(calls.get(0).arrivedNanos() - beforeNanos > -TimeUnit.MILLISECONDS.toNanos(100));
+            }
+        }
+    }
+
+    private static void block(CountDownLatch blocked, long ms) {
+        blocked.countDown();
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private HttpServer.Builder builder(HttpHandler handler) {
         return HttpServer.builder(group, handler)
                 .errorFormat((status, detail) -> HttpReply.text(status, "text/plain", "formatted " + status));
--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolVm.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolVm.java
@@ -151,13 +151,15 @@
      * Submits a job.
      *
      * @param job the job
-     * @param patienceMs how long the caller waits for the outcome, in milliseconds, or
+     * @param patienceMs how long the caller waits for the outcome since it sent its request, in milliseconds, or
      *     {@link PoolEvent.JobSubmitted#UNLIMITED}; the job ends after that
+     * @param arrivedNanos the earliest time at which the caller's request may have arrived, by {@link System#nanoTime}
      * @return the submission
      */
-    public Submission submit(PoolJob job, long patienceMs) {
+    public Submission submit(PoolJob job, long patienceMs, long arrivedNanos) {
         OpenCalls.Call call = calls.open(job.id());
-        ring.publish(new PoolEvent.JobSubmitted(call.number(), job, patienceMs));
+        ring.publish(new PoolEvent.JobSubmitted(
+                call.number(), job, patienceMs, TimeUnit.NANOSECONDS.toMillis(arrivedNanos)));
         return new Submission(call);
     }
 
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/EntryController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/EntryController.java
@@ -84,16 +84,19 @@
         }
     }
 
-    private long unreadMs() {
-        return board.now - pauseEndedMs < READ_AFTER_PAUSE_MS ? pausedMs : 0;
+    /** Returns how long a request may have waited before its event is handled. */
+    private long unreadMs(PoolEvent.JobSubmitted event) {
+        long paused = board.now - pauseEndedMs < READ_AFTER_PAUSE_MS ? pausedMs : 0;
+        return Math.max(paused, board.now - Math.min(board.now, event.arrivedAtMs()));
     }
 
     void onJobSubmitted(PoolEvent.JobSubmitted event) {
         PoolJob spec = event.job();
         EntryJob job = jobs.get(spec.id());
-        if (job == null && event.patienceMs() <= unreadMs()) {
-            board.log("event=job_unread job=" + spec.id() + " patience_ms=" + event.patienceMs() + " paused_ms="
-                    + pausedMs);
+        long unreadMs = unreadMs(event);
+        if (job == null && event.patienceMs() <= unreadMs) {
+            board.log("event=job_unread job=" + spec.id() + " patience_ms=" + event.patienceMs() + " unread_ms="
+                    + unreadMs);
             board.emit(new PoolEffect.Answer(
                     event.call(), spec.id(), new JobOutcome.Refused("read too late", RETRY_AFTER_MS)));
             return;
@@ -103,7 +106,7 @@
                     event.call(), spec.id(), new JobOutcome.Refused("too many jobs", RETRY_AFTER_MS)));
             return;
         }
-        calls.put(event.call(), new EntryCall(spec.id(), board.now + event.patienceMs() - unreadMs()));
+        calls.put(event.call(), new EntryCall(spec.id(), board.now + event.patienceMs() - unreadMs));
         if (job != null) {
             job.callers.add(event.call());
             return;
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/PoolEvent.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/PoolEvent.java
@@ -14,12 +14,26 @@
      *
      * @param call the number of the caller's call, which its answer refers to
      * @param job the job
-     * @param patienceMs how long the caller waits for the answer from now on, in milliseconds, or {@link #UNLIMITED}
+     * @param patienceMs how long the caller waits for the answer since it sent its request, in milliseconds, or
+     *     {@link #UNLIMITED}
+     * @param arrivedAtMs the earliest time at which the request may have arrived, on this VM's steady clock, in milliseconds;
+     *     a later time than that of the event stands for the time of the event
      */
-    record JobSubmitted(long call, PoolJob job, long patienceMs) implements PoolEvent {
+    record JobSubmitted(long call, PoolJob job, long patienceMs, long arrivedAtMs) implements PoolEvent {
 
         /** Patience of a caller that does not tell how long it waits. */
         public static final long UNLIMITED = Long.MAX_VALUE / 4;
+
+        /**
+         * Creates the event of a request that arrives as the event is handled.
+         *
+         * @param call the number of the caller's call, which its answer refers to
+         * @param job the job
+         * @param patienceMs how long the caller waits for the answer, in milliseconds, or {@link #UNLIMITED}
+         */
+        public JobSubmitted(long call, PoolJob job, long patienceMs) {
+            this(call, job, patienceMs, Long.MAX_VALUE);
+        }
     }
 
     /**
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/CallerDeadlineTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/CallerDeadlineTest.java
@@ -103,6 +103,25 @@
         assertTrue(answers().get(0) instanceof JobOutcome.Refused, answers().toString());
     }
 
+    /** The request waited in the ring of the core, or in the socket, while the VM handled other events. */
+    @Test
+    public void theDeadlineCountsFromTheTimeAtWhichTheRequestArrived() {
+        tickUntil(10_400);
+        deliver(new PoolEvent.JobSubmitted(1, PoolJobs.job("job-1", 1, 5_000), 500, 10_100));
+        tickUntil(10_599);
+        assertEquals(sent().size(), 1, "only the forward: " + sent());
+        tickUntil(10_600);
+        assertEquals(sent().get(1), new PoolMessage.WithdrawJob("job-1"));
+    }
+
+    @Test
+    public void aRequestForWhichNothingIsLeftIsRefusedAtOnce() {
+        tickUntil(10_600);
+        deliver(new PoolEvent.JobSubmitted(1, PoolJobs.job("job-1", 1, 5_000), 500, 10_100));
+        assertEquals(sent(), List.of());
+        assertTrue(answers().get(0) instanceof JobOutcome.Refused, answers().toString());
+    }
+
     @Test
     public void aCallerThatTellsNoDeadlineIsAwaited() {
         submit(1, PoolEvent.JobSubmitted.UNLIMITED);
