--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/EntryController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/EntryController.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
 
@@ -37,6 +38,7 @@
     private final PoolBoard board;
     private final Map<String, EntryJob> jobs = new LinkedHashMap<>();
     private final Map<Long, EntryCall> calls = new LinkedHashMap<>();
+    private final SuspensionCheck suspension = new SuspensionCheck();
     private volatile Map<String, Integer> waiting = Map.of();
     /** At most the earliest deadline of the calls, in milliseconds. */
     private long nextDeadlineMs = Long.MAX_VALUE;
@@ -45,14 +47,22 @@
     private long ownerUnlinkedSinceMs;
     private long pauseEndedMs = Long.MIN_VALUE / 2;
     private long pausedMs;
+    /** Whether jobs may be held. */
+    private boolean holding;
 
     /**
      * Call of a caller that waits for a job.
      *
      * @param job the identifier of the job
      * @param deadlineMs until when the caller waits, in milliseconds
+     * @param readAtMs when the call was read, in milliseconds
      */
-    private record EntryCall(String job, long deadlineMs) {}
+    private record EntryCall(String job, long deadlineMs, long readAtMs) {
+
+        EntryCall shortenedBy(long ms) {
+            return new EntryCall(job, deadlineMs - ms, readAtMs);
+        }
+    }
 
     private static final class EntryJob {
         private final PoolJob spec;
@@ -66,6 +76,9 @@
         /** How often the job was forwarded. */
         private int forwards;
 
+        /** Whether all its callers may have left while this VM was suspended, so that no owner may start it. */
+        private boolean held;
+
         EntryJob(PoolJob spec, long arrivedAtMs) {
             this.spec = spec;
             this.arrivedAtMs = arrivedAtMs;
@@ -91,16 +104,88 @@
         }
     }
 
-    private long unreadMs() {
-        return board.now - pauseEndedMs < READ_AFTER_PAUSE_MS ? pausedMs : 0;
+    /**
+     * Begins to find out whether this VM was suspended for a time that its steady clock did not count. Until that is known,
+     * jobs whose callers may have left by then are held: they are withdrawn and not forwarded, and their callers are not
+     * answered.
+     */
+    void onClocksParted(long longestMs) {
+        suspension.begin(longestMs, board.now);
+        endOverdueCalls();
+    }
+
+    /** Takes the clock of another VM, the owner under a token, as evidence whether this VM was suspended. */
+    void onOwnerClock(long token, long sentAtMs) {
+        suspension.onHeartbeat(token, sentAtMs, board.now);
+    }
+
+    private void endSuspensionCheck() {
+        OptionalLong suspendedMs = suspension.poll(board.now);
+        if (suspendedMs.isPresent()) {
+            board.log("event=suspension_known suspended_ms=" + suspendedMs.getAsLong() + " after_ms="
+                    + (board.now - suspension.sinceMs()));
+            calls.replaceAll((k, c) -> mayPredateSuspension(c) ? c.shortenedBy(suspendedMs.getAsLong()) : c);
+            nextDeadlineMs = Long.MIN_VALUE;
+            jobs.values().forEach(this::updateDeadline);
+        }
+    }
+
+    private void updateDeadline(EntryJob job) {
+        job.deadlineMs = job.callers.stream()
+                .mapToLong(c -> calls.get(c).deadlineMs())
+                .max()
+                .orElse(job.deadlineMs);
+    }
+
+    private boolean mayPredateSuspension(EntryCall call) {
+        return call.readAtMs() <= suspension.sinceMs() + READ_AFTER_PAUSE_MS;
+    }
+
+    private boolean mayHaveLeft(EntryCall call) {
+        return mayPredateSuspension(call) && board.now >= call.deadlineMs() - suspension.longestMs();
+    }
+
+    private boolean mustHold(EntryJob job) {
+        return suspension.isOpen() && job.callers.stream().allMatch(c -> mayHaveLeft(calls.get(c)));
+    }
+
+    /** Withdraws the jobs that must be held, and forwards those that need not be held any more. */
+    private void holdJobs() {
+        if (!suspension.isOpen() && !holding) {
+            return;
+        }
+        holding = suspension.isOpen();
+        for (EntryJob j : jobs.values()) {
+            boolean hold = mustHold(j);
+            if (hold && !j.held) {
+                withdraw(j);
+                j.held = true;
+            } else if (!hold && j.held) {
+                forwardUnlessHeld(j);
+            }
+        }
+    }
+
+    private void forwardUnlessHeld(EntryJob job) {
+        job.held = mustHold(job);
+        if (ownerLinked && !job.held) {
+            forward(job);
+        }
+    }
+
+    /** Returns how long a request may have waited before its event is handled. */
+    private long unreadMs(PoolEvent.JobSubmitted event) {
+        long paused = board.now - pauseEndedMs < READ_AFTER_PAUSE_MS ? pausedMs : 0;
+        return Math.max(paused, board.now - Math.min(board.now, event.arrivedAtMs()));
     }
 
     void onJobSubmitted(PoolEvent.JobSubmitted event) {
         PoolJob spec = event.job();
         EntryJob job = jobs.get(spec.id());
-        if (job == null && event.patienceMs() <= unreadMs()) {
-            board.log("event=job_unread job=" + spec.id() + " patience_ms=" + event.patienceMs() + " paused_ms="
-                    + pausedMs);
+        long unreadMs = unreadMs(event);
+        if (job == null && event.patienceMs() <= unreadMs) {
+            board.log("event=job_unread job=" + spec.id() + " patience_ms=" + event.patienceMs() + " unread_ms="
+                    + unreadMs);
             board.emit(new PoolEffect.Answer(
                     event.call(), spec.id(), new JobOutcome.Refused("read too late", RETRY_AFTER_MS)));
             return;
@@ -110,8 +195,8 @@
                     event.call(), spec.id(), new JobOutcome.Refused("too many jobs", RETRY_AFTER_MS)));
             return;
         }
-        long deadlineMs = board.now + event.patienceMs() - unreadMs();
-        calls.put(event.call(), new EntryCall(spec.id(), deadlineMs));
+        long deadlineMs = board.now + event.patienceMs() - unreadMs;
+        calls.put(event.call(), new EntryCall(spec.id(), deadlineMs, board.now));
         nextDeadlineMs = Math.min(nextDeadlineMs, deadlineMs);
         if (job != null) {
             job.callers.add(event.call());
@@ -122,9 +207,7 @@
         job.deadlineMs = deadlineMs;
         job.callers.add(event.call());
         jobs.put(spec.id(), job);
-        if (ownerLinked) {
-            forward(job);
-        }
+        forwardUnlessHeld(job);
     }
 
     private void extend(EntryJob job, long deadlineMs) {
@@ -161,9 +244,14 @@
      * acknowledges a heartbeat nor forwards a job for a caller that has left, also while it skips ticks.
      */
     void endOverdueCalls() {
-        if (board.now < nextDeadlineMs) {
-            return;
+        endSuspensionCheck();
+        if (board.now >= nextDeadlineMs) {
+            endCallsOverdueNow();
         }
+        holdJobs();
+    }
+
+    private void endCallsOverdueNow() {
         nextDeadlineMs = Long.MAX_VALUE;
         List<Map.Entry<Long, EntryCall>> overdue = new ArrayList<>();
         for (Map.Entry<Long, EntryCall> c : calls.entrySet()) {
@@ -193,10 +281,11 @@
      * admitted is withdrawn too: the count of owners that may have it can be too low after an answer to an earlier submission.
      */
     private boolean withdraw(EntryJob job) {
-        if (ownerLinked) {
+        boolean needed = ownerLinked && !job.held;
+        if (needed) {
             board.sendToOwner(new PoolMessage.WithdrawJob(job.spec.id()));
         }
-        return ownerLinked;
+        return needed;
     }
 
     private void forward(EntryJob job) {
@@ -255,7 +344,7 @@
             }
             board.sendToOwner(new PoolMessage.ForwardsBegin());
             for (EntryJob j : List.copyOf(jobs.values())) {
-                forward(j);
+                forwardUnlessHeld(j);
             }
         } else if (ownerLinked) {
             ownerLinked = false;
