Remember endpoints that drained until they refuse a connection

Cause: the entry of an endpoint that drains lapses although it still serves, when it does not reach the store. Owners forgot it at once, so that the next one started tasks elsewhere whose runs were at work there.

Such an endpoint is remembered and asked for 15 s now, like others that leave the list. It is forgotten at once when its machine refuses the connection or another instance answers at its address. Ruled out: that sign for endpoints that did not drain, since a network that rejects connections also lets entries lapse.

UnknownEndpointsTest.aNewOwnerWaitsForRunsAtADrainingEndpointThatHasLeftTheList: 1 violation before, none after.

--- a/org.gooseberrypier.http/src/main/java/org/gooseberrypier/http/ConnectionPool.java
+++ b/org.gooseberrypier.http/src/main/java/org/gooseberrypier/http/ConnectionPool.java
@@ -1,5 +1,6 @@
 package org.gooseberrypier.http;
 
+import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -187,10 +188,17 @@
     private void failOldest(Throwable cause) {
         PendingRequest first = waiting.poll();
         if (first != null) {
-            first.failUnsent(address + ": " + cause);
+            first.failUnsent(address + ": " + cause, isRefusal(cause));
         }
     }
 
+    /** The type alone does not tell: a connection that times out fails with the same one. */
+    private static boolean isRefusal(Throwable cause) {
+        return cause instanceof ConnectException
+                && cause.getMessage() != null
+                && cause.getMessage().startsWith("Connection refused");
+    }
+
     private final class Initializer extends ChannelInitializer<Channel> {
 
         @Override
@@ -229,8 +237,12 @@
         }
 
         void failUnsent(String message) {
+            failUnsent(message, false);
+        }
+
+        void failUnsent(String message, boolean refused) {
             cancelTimeout();
-            reply.completeExceptionally(new NotSentException(message));
+            reply.completeExceptionally(new NotSentException(message, refused));
         }
 
         void failUnanswered(String message) {
--- a/org.gooseberrypier.http/src/test/java/org/gooseberrypier/http/HttpClientTest.java
+++ b/org.gooseberrypier.http/src/test/java/org/gooseberrypier/http/HttpClientTest.java
@@ -19,6 +19,7 @@
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 public class HttpClientTest {
@@ -44,7 +45,9 @@
             closedPort = new HostPort("127.0.0.1", socket.getLocalPort());
         }
         HttpClient client = HttpClient.builder(group).build();
-        assertEquals(failure(client.send(closedPort, get(5_000))).getClass(), NotSentException.class);
+        Throwable failure = failure(client.send(closedPort, get(5_000)));
+        assertEquals(failure.getClass(), NotSentException.class);
+        assertTrue(((NotSentException) failure).isRefused());
     }
 
     @DataProvider
@@ -180,6 +183,8 @@
             CompletableFuture<HttpReply> third = client.send(server.address(), get(100));
             assertEquals(failure(third).getClass(), NotSentException.class, "the queue is full");
             assertEquals(failure(second).getClass(), NotSentException.class, "no connection before the timeout");
+            assertFalse(((NotSentException) failure(third)).isRefused());
+            assertFalse(((NotSentException) failure(second)).isRefused());
             assertEquals(failure(first).getClass(), NoReplyException.class);
             assertEquals(requests.get(), 1);
         }
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseController.java
@@ -54,9 +54,9 @@
     private static final long ZONE_ORPHAN_STOP_DELAY_MS = 200;
 
     /**
-     * Time for which an endpoint that left the list without draining is treated as possibly alive, in milliseconds. Its
-     * registration also expires while its zone is isolated, although the zone owner still uses the endpoint; the endpoint
-     * is listed again seconds later.
+     * Time for which an endpoint that left the list is treated as possibly alive, in milliseconds. Its registration also
+     * expires while the endpoint does not reach the store, as in an isolated zone, where it is still used; the endpoint is
+     * listed again seconds later.
      */
     private static final long UNLISTED_RETENTION_MS = 15_000;
 
@@ -122,9 +122,7 @@
         Map<String, PoolEndpoint> listed = new HashMap<>();
         event.endpoints().forEach(e -> listed.put(e.id(), e));
         for (PoolEndpoint e : board.registeredEndpoints) {
-            if (!e.draining()) {
-                unlisted.putIfAbsent(e.id(), new Unlisted(e, board.now));
-            }
+            unlisted.putIfAbsent(e.id(), new Unlisted(e, board.now));
         }
         unlisted.values()
                 .removeIf(
@@ -162,7 +160,7 @@
         }
         for (LeasedEndpoint e : new ArrayList<>(board.endpoints.values())) {
             if (!seen.contains(e.registration.id())) {
-                if (e.registered && !e.registration.draining()) {
+                if (e.registered) {
                     e.pollUntilMs = board.now + UNLISTED_RETENTION_MS;
                 }
                 e.registered = false;
@@ -321,6 +319,10 @@
         } else {
             e.renewing = false;
         }
+        if (isGone(e, event.result())) {
+            forget(e);
+            return;
+        }
         if (request.token() != board.token) {
             e.nextRenewalAtMs = board.now;
         } else if (event.result() instanceof LeaseRenewalResult.Held h) {
@@ -342,6 +344,25 @@
         }
     }
 
+    /**
+     * Returns whether the result of a renewal shows that an endpoint has ended: it drained, its entry has expired, and nothing or
+     * another instance listens at its address. A refusal alone does not show it for others, since a network failure may look
+     * the same and lets entries expire.
+     */
+    private static boolean isGone(LeasedEndpoint e, LeaseRenewalResult result) {
+        boolean ended = result instanceof LeaseRenewalResult.Unanswered u && u.refused()
+                || result instanceof LeaseRenewalResult.Rejected r
+                        && r.cause() == LeaseRenewalResult.Rejection.OTHER_INCARNATION;
+        return ended && !e.registered && e.registration.draining() && e.runs.isEmpty();
+    }
+
+    private void forget(LeasedEndpoint e) {
+        board.log("event=endpoint_ended endpoint=" + e.registration.id());
+        unlisted.remove(e.registration.id());
+        board.endpoints.remove(e.registration.id());
+        board.placementDue = true;
+    }
+
     private void onRejected(LeasedEndpoint e, PoolEffect.RenewLeases request, LeaseRenewalResult.Rejection cause) {
         switch (cause) {
             case FENCED -> {
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/LeaseRenewalResult.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/LeaseRenewalResult.java
@@ -34,8 +34,19 @@
      * The endpoint did not answer in time or could not be reached.
      *
      * @param reason the cause of the failure, for the log
+     * @param refused whether the connection was refused, since nothing listens at the address
      */
-    record Unanswered(String reason) implements LeaseRenewalResult {}
+    record Unanswered(String reason, boolean refused) implements LeaseRenewalResult {
+
+        /**
+         * Creates the result of a call whose connection was not refused.
+         *
+         * @param reason the cause of the failure, for the log
+         */
+        public Unanswered(String reason) {
+            this(reason, false);
+        }
+    }
 
     /** Cause for which an endpoint does not renew its leases. */
     enum Rejection {
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/internal/pool/LeaseControllerTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/internal/pool/LeaseControllerTest.java
@@ -14,6 +14,7 @@
 import org.gooseberrypier.pool.RunProgress;
 import org.gooseberrypier.pool.VmIncarnation;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -81,6 +82,34 @@
                 .orElseThrow();
     }
 
+    @DataProvider
+    public Object[][] resultsOfCallsToAnEndpointThatLeftTheList() {
+        LeaseRenewalResult refused = new LeaseRenewalResult.Unanswered("connection refused", true);
+        LeaseRenewalResult silent = new LeaseRenewalResult.Unanswered("no answer in time");
+        LeaseRenewalResult other = new LeaseRenewalResult.Rejected(LeaseRenewalResult.Rejection.OTHER_INCARNATION);
+        return new Object[][] {
+            {true, refused, true},
+            {true, other, true},
+            {true, silent, false},
+            {false, refused, false},
+            {false, other, false},
+        };
+    }
+
+    @Test(dataProvider = "resultsOfCallsToAnEndpointThatLeftTheList")
+    public void anEndpointThatLeftTheListIsForgottenIfItDrainedAndHasCertainlyEnded(
+            boolean draining, LeaseRenewalResult result, boolean forgotten) {
+        PoolEndpoint last = new PoolEndpoint("e", ENDPOINT.address(), "z", "s", List.of("a"), 16_000, 65_536, draining);
+        leases.onEndpointsRead(new PoolEvent.EndpointsRead(List.of(last), 1_000));
+        leases.onLeaseRenewalEnded(new PoolEvent.LeaseRenewalEnded(lastRenewal(), result));
+        assertTrue(board.endpoints.containsKey("e"), "it is listed");
+        leases.onEndpointsRead(new PoolEvent.EndpointsRead(List.of(), 1_000));
+        board.now += 100;
+        leases.onTick();
+        leases.onLeaseRenewalEnded(new PoolEvent.LeaseRenewalEnded(lastRenewal(), result));
+        assertEquals(board.endpoints.containsKey("e"), !forgotten);
+    }
+
     /** Guards against a second run: callers submit the job of a lost VM again when its runs must have expired. */
     @Test
     public void leasesOfOrphanRunsAreExtendedOnlyOnceTheirJobIsForwarded() {
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolSimulation.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/PoolSimulation.java
@@ -351,6 +351,11 @@
                 .findFirst();
     }
 
+    private boolean isRefused(SimulatedVm vm, String id) {
+        return endpoints.stream()
+                .anyMatch(e -> e.id.equals(id) && !e.alive && e.refuses && !isCut(vm.contact.address(), id));
+    }
+
     private void renewLeases(SimulatedVm vm, PoolEffect.RenewLeases h) {
         long startNumber = vm.startNumber();
         boolean lost = random.nextDouble() < answerLossProbability
@@ -358,7 +363,11 @@
                         vm.contact.address() + "|" + h.endpoint().id());
         after(1, () -> {
             Optional<SimulatedEndpoint> e = reach(vm, h.endpoint().id());
-            boolean[] replied = new boolean[1];
+            boolean[] replied = new boolean[] {isRefused(vm, h.endpoint().id())};
+            if (replied[0]) {
+                var refused = new LeaseRenewalResult.Unanswered("connection refused", true);
+                after(1, () -> vm.deliver(startNumber, new PoolEvent.LeaseRenewalEnded(h, refused)));
+            }
             e.ifPresent(x -> x.hold(h, r -> {
                 if (!lost && !isCut(vm.contact.address(), x.id) && !replied[0]) {
                     replied[0] = true;
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedEndpoint.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SimulatedEndpoint.java
@@ -15,6 +15,8 @@
     final Map<RunId, Long> running = new HashMap<>();
     PoolEndpoint registration;
     boolean alive = true;
+    /** Whether its machine refuses connections while the endpoint is not alive; otherwise they get no answer. */
+    boolean refuses;
     /** Whether the endpoint is listed in the store while it reaches the store. */
     boolean listed = true;
 
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/UnknownEndpointsTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/UnknownEndpointsTest.java
@@ -5,6 +5,7 @@
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 /** Tests that a new owner does not start tasks whose runs are at endpoints that have left the list. */
 public class UnknownEndpointsTest {
@@ -13,8 +14,14 @@
         return s.vms.stream().filter(v -> v.alive && v != not).findFirst().orElseThrow();
     }
 
+    private static void drain(SimulatedEndpoint e) {
+        PoolEndpoint p = e.registration;
+        e.registration = new PoolEndpoint(
+                p.id(), p.address(), p.zone(), p.service(), p.labels(), p.milliCores(), p.memoryMb(), true);
+    }
+
     /** The entry of an endpoint that drains also expires while the endpoint, which still serves, does not reach the store. */
-    @Test(groups = "known-red")
+    @Test
     public void aNewOwnerWaitsForRunsAtADrainingEndpointThatHasLeftTheList() {
         PoolSimulation s = new PoolSimulation(1, 6, 3);
         s.startAll();
@@ -26,9 +33,7 @@
                 .filter(e -> !e.running.isEmpty())
                 .findFirst()
                 .orElseThrow();
-        PoolEndpoint p = draining.registration;
-        draining.registration = new PoolEndpoint(
-                p.id(), p.address(), p.zone(), p.service(), p.labels(), p.milliCores(), p.memoryMb(), true);
+        drain(draining);
         s.runUntil(s.nowMs() + 700);
         draining.listed = false;
         s.runUntil(s.nowMs() + 700);
@@ -37,6 +42,59 @@
         assertEquals(s.violations, List.of());
     }
 
+    private enum Departure {
+        /** The endpoint does not depart. */
+        NONE,
+        /** The endpoint has ended, and its machine refuses connections. */
+        ENDED,
+        /** The endpoint's machine does not answer. */
+        SILENT
+    }
+
+    /** Returns how long after the loss of an owner a job that it had not started yet starts, in milliseconds. */
+    private static long startAfterLossMs(Departure departure) {
+        PoolSimulation s = new PoolSimulation(1, 6, 3);
+        s.startAll();
+        s.runUntil(18_000);
+        SimulatedEndpoint e = s.endpoints.get(0);
+        if (departure != Departure.NONE) {
+            drain(e);
+            s.runUntil(s.nowMs() + 700);
+            e.crash();
+            e.refuses = departure == Departure.ENDED;
+            e.listedUntilMs = 0;
+        }
+        s.runUntil(20_000);
+        SimulatedVm first = s.owner();
+        // The owner has the job and cannot start it.
+        s.endpoints.forEach(x -> s.cuts.add(first.contact.address() + "|" + x.id));
+        s.runUntil(s.nowMs() + 500);
+        s.submitAt(other(s, first), PoolJobs.patientJob("job-001", 1, 3_000));
+        s.runUntil(s.nowMs() + 100);
+        assertEquals(s.startCount, 0);
+        s.kill(first);
+        long lostMs = s.nowMs();
+        while (s.startCount == 0 && s.nowMs() < lostMs + 10_000) {
+            s.runUntil(s.nowMs() + 5);
+        }
+        assertEquals(s.violations, List.of());
+        return s.nowMs() - lostMs;
+    }
+
+    /** Guards against a delay of each change of the owner during a release: the endpoints that leave are known to have ended. */
+    @Test
+    public void aNewOwnerDoesNotWaitForADrainedEndpointThatHasEnded() {
+        long departedMs = startAfterLossMs(Departure.ENDED);
+        long usualMs = startAfterLossMs(Departure.NONE);
+        assertTrue(departedMs <= usualMs + 50, departedMs + " ms, otherwise " + usualMs);
+    }
+
+    @Test
+    public void aNewOwnerWaitsForADrainedEndpointWhoseMachineIsSilent() {
+        long departedMs = startAfterLossMs(Departure.SILENT);
+        assertTrue(departedMs >= 1_600, departedMs + " ms");
+    }
+
     /** The owner forgets endpoints 15 s after they have left the list; the VMs of an isolated zone go on using them. */
     @Test(groups = "known-red")
     public void jobsOfAZoneThatWasIsolatedForLongWaitForTheRunsOfThatZone() {
