Keep what an earlier answer told of an endpoint's clock when a later one is read late

Cause, traced in the phase that failed (frozen after 360 ms for 445 ms): the answer to a renewal arrived when the pause began and was read at its end, so that the clock was taken to be 445 ms behind. A lease granted for 655 ms was one of 209 ms at the endpoint, the next renewal waited there for 218 ms, and the owner took the lease for long enough.

Each answer gives a lower bound of the clock's offset. The owner keeps the higher one of the new bound and the earlier one less the drift since then; the time of the call gives the upper bound, so that a clock that was set back is followed.

--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseController.java
@@ -421,7 +421,7 @@
         }
         e.incarnation = h.incarnation();
         e.lastAnsweredCallSentAtMs = Math.max(e.lastAnsweredCallSentAtMs, request.sentAtMs());
-        e.setClock(h.clockMs(), board.now);
+        e.setClock(h.clockMs(), request.sentAtMs(), board.now);
         if (otherIncarnation && !e.runs.isEmpty()) {
             // The new incarnation accepts starts that were addressed to the earlier one, with deadlines of its clock.
             e.extendLease(board.now, MAX_LEASE_MS);
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeasedEndpoint.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeasedEndpoint.java
@@ -76,10 +76,22 @@
         return clockKnown;
     }
 
-    /** Sets the clock offset from an answer; the offset is too low by the transmission time of the answer. */
-    void setClock(long clockMs, long now) {
+    /**
+     * Updates the clock offset from an answer. The offset is never too high: an answer tells one that is too low by the time until
+     * it was read, and the earlier offset less the drift since then remains valid. Load pattern: answers that arrived during
+     * a pause of this VM are read after it.
+     *
+     * @param clockMs the endpoint's clock when it answered, in milliseconds
+     * @param sentAtMs when the call was sent, in milliseconds; the offset cannot exceed what follows from an answer at that time
+     */
+    void setClock(long clockMs, long sentAtMs, long now) {
+        long offset = clockMs - now;
+        if (clockKnown) {
+            long drift = (long) Math.ceil(MAX_CLOCK_DRIFT * Math.max(0, now - lastAnswerAtMs));
+            offset = Math.max(offset, Math.min(clockOffsetMs - drift, clockMs - sentAtMs));
+        }
         clockKnown = true;
-        clockOffsetMs = clockMs - now;
+        clockOffsetMs = offset;
         lastAnswerAtMs = now;
     }
 
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/LeasesAfterPausesTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/LeasesAfterPausesTest.java
@@ -118,7 +118,7 @@
     }
 
     /** The owner is frozen for less than a lease, and no other VM takes over. */
-    @Test(groups = "known-red")
+    @Test
     public void aShortPauseOfTheOwnerDoesNotLetRunsLapse() {
         List<String> broken = new ArrayList<>();
         for (long frozenMs = 405; frozenMs <= 445; frozenMs += 20) {
