--- a/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/Pool.java
+++ b/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/Pool.java
@@ -84,42 +84,43 @@
       "\n\010priority\030\t \001(\005\022\024\n\014max_failures\030\n \001(\005\022\017" +
       "\n\007stretch\030\013 \001(\001\022\031\n\021target_latency_ms\030\014 \001" +
       "(\003\022\026\n\016preferred_rack\030\r \001(\t\022\026\n\016required_l" +
-      "abel\030\016 \001(\t\"\211\001\n\014PresentProto\022.\n\003job\030\001 \001(\013" +
+      "abel\030\016 \001(\t\"\244\001\n\014PresentProto\022.\n\003job\030\001 \001(\013" +
       "2!.gooseberrypier.pool.PoolJobProto\022\016\n\006a" +
       "ge_ms\030\002 \001(\003\022\021\n\thandovers\030\003 \001(\005\022\022\n\ndone_t" +
-      "asks\030\004 \003(\005\022\022\n\nawaited_ms\030\005 \001(\003\".\n\013Extend" +
-      "Proto\022\013\n\003job\030\001 \001(\t\022\022\n\nawaited_ms\030\002 \001(\003\"\305" +
-      "\002\n\014ToOwnerProto\0224\n\005hello\030\001 \001(\0132#.goosebe" +
-      "rrypier.pool.VmContactProtoH\000\0224\n\007present" +
-      "\030\002 \001(\0132!.gooseberrypier.pool.PresentProt" +
-      "oH\000\022\022\n\010withdraw\030\003 \001(\tH\000\022\017\n\005alive\030\004 \001(\010H\000" +
-      "\022\034\n\022heartbeat_received\030\005 \001(\003H\000\022\030\n\016presen" +
-      "ts_begin\030\010 \001(\010H\000\0222\n\006extend\030\t \001(\0132 .goose" +
-      "berrypier.pool.ExtendProtoH\000\022\037\n\027acknowle" +
-      "dges_heartbeats\030\006 \001(\010\022\014\n\004link\030\007 \001(\003B\t\n\007m" +
-      "essage\"*\n\rTaskDoneProto\022\013\n\003job\030\001 \001(\t\022\014\n\004" +
-      "task\030\002 \001(\005\"\322\001\n\rFinishedProto\022\013\n\003job\030\001 \001(" +
-      "\t\022;\n\007outcome\030\002 \001(\0162*.gooseberrypier.pool" +
-      ".FinishedProto.Outcome\022\016\n\006reason\030\003 \001(\t\022\026" +
-      "\n\016retry_after_ms\030\004 \001(\003\"O\n\007Outcome\022\017\n\013UNS" +
-      "PECIFIED\020\000\022\r\n\tCOMPLETED\020\001\022\n\n\006FAILED\020\002\022\013\n" +
-      "\007REFUSED\020\003\022\013\n\007UNKNOWN\020\004\"\342\001\n\022PoolHeartbea" +
-      "tProto\022\r\n\005token\030\001 \001(\003\0222\n\005peers\030\002 \003(\0132#.g" +
-      "ooseberrypier.pool.VmContactProto\022E\n\007wai" +
-      "ting\030\003 \003(\01324.gooseberrypier.pool.PoolHea" +
-      "rtbeatProto.WaitingEntry\022\022\n\nsent_at_ms\030\004" +
-      " \001(\003\032.\n\014WaitingEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005val" +
-      "ue\030\002 \001(\005:\0028\001\"\210\002\n\014ToEntryProto\0227\n\ttask_do" +
-      "ne\030\001 \001(\0132\".gooseberrypier.pool.TaskDoneP" +
-      "rotoH\000\0226\n\010finished\030\002 \001(\0132\".gooseberrypie" +
-      "r.pool.FinishedProtoH\000\022<\n\theartbeat\030\003 \001(" +
-      "\0132\'.gooseberrypier.pool.PoolHeartbeatPro" +
-      "toH\000\022\023\n\tnot_owner\030\004 \001(\003H\000\022\021\n\007welcome\030\005 \001" +
-      "(\010H\000\022\026\n\014not_admitted\030\006 \001(\tH\000B\t\n\007message2" +
-      "a\n\013PoolService\022R\n\006Attach\022!.gooseberrypie" +
-      "r.pool.ToOwnerProto\032!.gooseberrypier.poo" +
-      "l.ToEntryProto(\0010\001B\037\n\033org.gooseberrypier" +
-      ".protocolP\001b\006proto3"
+      "asks\030\004 \003(\005\022\022\n\nawaited_ms\030\005 \001(\003\022\031\n\021unknow" +
+      "n_endpoints\030\006 \001(\010\".\n\013ExtendProto\022\013\n\003job\030" +
+      "\001 \001(\t\022\022\n\nawaited_ms\030\002 \001(\003\"\305\002\n\014ToOwnerPro" +
+      "to\0224\n\005hello\030\001 \001(\0132#.gooseberrypier.pool." +
+      "VmContactProtoH\000\0224\n\007present\030\002 \001(\0132!.goos" +
+      "eberrypier.pool.PresentProtoH\000\022\022\n\010withdr" +
+      "aw\030\003 \001(\tH\000\022\017\n\005alive\030\004 \001(\010H\000\022\034\n\022heartbeat" +
+      "_received\030\005 \001(\003H\000\022\030\n\016presents_begin\030\010 \001(" +
+      "\010H\000\0222\n\006extend\030\t \001(\0132 .gooseberrypier.poo" +
+      "l.ExtendProtoH\000\022\037\n\027acknowledges_heartbea" +
+      "ts\030\006 \001(\010\022\014\n\004link\030\007 \001(\003B\t\n\007message\"*\n\rTas" +
+      "kDoneProto\022\013\n\003job\030\001 \001(\t\022\014\n\004task\030\002 \001(\005\"\322\001" +
+      "\n\rFinishedProto\022\013\n\003job\030\001 \001(\t\022;\n\007outcome\030" +
+      "\002 \001(\0162*.gooseberrypier.pool.FinishedProt" +
+      "o.Outcome\022\016\n\006reason\030\003 \001(\t\022\026\n\016retry_after" +
+      "_ms\030\004 \001(\003\"O\n\007Outcome\022\017\n\013UNSPECIFIED\020\000\022\r\n" +
+      "\tCOMPLETED\020\001\022\n\n\006FAILED\020\002\022\013\n\007REFUSED\020\003\022\013\n" +
+      "\007UNKNOWN\020\004\"\371\001\n\022PoolHeartbeatProto\022\r\n\005tok" +
+      "en\030\001 \001(\003\0222\n\005peers\030\002 \003(\0132#.gooseberrypier" +
+      ".pool.VmContactProto\022E\n\007waiting\030\003 \003(\01324." +
+      "gooseberrypier.pool.PoolHeartbeatProto.W" +
+      "aitingEntry\022\022\n\nsent_at_ms\030\004 \001(\003\022\025\n\rlist_" +
+      "outdated\030\005 \001(\010\032.\n\014WaitingEntry\022\013\n\003key\030\001 " +
+      "\001(\t\022\r\n\005value\030\002 \001(\005:\0028\001\"\210\002\n\014ToEntryProto\022" +
+      "7\n\ttask_done\030\001 \001(\0132\".gooseberrypier.pool" +
+      ".TaskDoneProtoH\000\0226\n\010finished\030\002 \001(\0132\".goo" +
+      "seberrypier.pool.FinishedProtoH\000\022<\n\thear" +
+      "tbeat\030\003 \001(\0132\'.gooseberrypier.pool.PoolHe" +
+      "artbeatProtoH\000\022\023\n\tnot_owner\030\004 \001(\003H\000\022\021\n\007w" +
+      "elcome\030\005 \001(\010H\000\022\026\n\014not_admitted\030\006 \001(\tH\000B\t" +
+      "\n\007message2a\n\013PoolService\022R\n\006Attach\022!.goo" +
+      "seberrypier.pool.ToOwnerProto\032!.gooseber" +
+      "rypier.pool.ToEntryProto(\0010\001B\037\n\033org.goos" +
+      "eberrypier.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -142,7 +143,7 @@
     internal_static_gooseberrypier_pool_PresentProto_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_gooseberrypier_pool_PresentProto_descriptor,
-        new java.lang.String[] { "Job", "AgeMs", "Handovers", "DoneTasks", "AwaitedMs", });
+        new java.lang.String[] { "Job", "AgeMs", "Handovers", "DoneTasks", "AwaitedMs", "UnknownEndpoints", });
     internal_static_gooseberrypier_pool_ExtendProto_descriptor =
       getDescriptor().getMessageTypes().get(3);
     internal_static_gooseberrypier_pool_ExtendProto_fieldAccessorTable = new
@@ -172,7 +173,7 @@
     internal_static_gooseberrypier_pool_PoolHeartbeatProto_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_gooseberrypier_pool_PoolHeartbeatProto_descriptor,
-        new java.lang.String[] { "Token", "Peers", "Waiting", "SentAtMs", });
+        new java.lang.String[] { "Token", "Peers", "Waiting", "SentAtMs", "ListOutdated", });
     internal_static_gooseberrypier_pool_PoolHeartbeatProto_WaitingEntry_descriptor =
       internal_static_gooseberrypier_pool_PoolHeartbeatProto_descriptor.getNestedTypes().get(0);
     internal_static_gooseberrypier_pool_PoolHeartbeatProto_WaitingEntry_fieldAccessorTable = new
--- a/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/PresentProto.java
+++ b/org.gooseberrypier.protocol/src/main/java/org/gooseberrypier/protocol/PresentProto.java
@@ -134,6 +134,21 @@
     return awaitedMs_;
   }
 
+  public static final int UNKNOWN_ENDPOINTS_FIELD_NUMBER = 6;
+  private boolean unknownEndpoints_ = false;
+  /**
+   * <pre>
+   * Runs of the job may be at endpoints that the receiver does not know.
+   * </pre>
+   *
+   * <code>bool unknown_endpoints = 6;</code>
+   * @return The unknownEndpoints.
+   */
+  @java.lang.Override
+  public boolean getUnknownEndpoints() {
+    return unknownEndpoints_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -168,6 +183,9 @@
     if (awaitedMs_ != 0L) {
       output.writeInt64(5, awaitedMs_);
     }
+    if (unknownEndpoints_ != false) {
+      output.writeBool(6, unknownEndpoints_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -207,6 +225,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(5, awaitedMs_);
     }
+    if (unknownEndpoints_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(6, unknownEndpoints_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -235,6 +257,8 @@
         .equals(other.getDoneTasksList())) return false;
     if (getAwaitedMs()
         != other.getAwaitedMs()) return false;
+    if (getUnknownEndpoints()
+        != other.getUnknownEndpoints()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -262,6 +286,9 @@
     hash = (37 * hash) + AWAITED_MS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getAwaitedMs());
+    hash = (37 * hash) + UNKNOWN_ENDPOINTS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getUnknownEndpoints());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -408,6 +435,7 @@
       handovers_ = 0;
       doneTasks_ = emptyIntList();
       awaitedMs_ = 0L;
+      unknownEndpoints_ = false;
       return this;
     }
 
@@ -461,6 +489,9 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.awaitedMs_ = awaitedMs_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.unknownEndpoints_ = unknownEndpoints_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -531,6 +562,9 @@
       if (other.getAwaitedMs() != 0L) {
         setAwaitedMs(other.getAwaitedMs());
       }
+      if (other.getUnknownEndpoints() != false) {
+        setUnknownEndpoints(other.getUnknownEndpoints());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -595,6 +629,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 48: {
+              unknownEndpoints_ = input.readBool();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -924,6 +963,50 @@
       onChanged();
       return this;
     }
+
+    private boolean unknownEndpoints_ ;
+    /**
+     * <pre>
+     * Runs of the job may be at endpoints that the receiver does not know.
+     * </pre>
+     *
+     * <code>bool unknown_endpoints = 6;</code>
+     * @return The unknownEndpoints.
+     */
+    @java.lang.Override
+    public boolean getUnknownEndpoints() {
+      return unknownEndpoints_;
+    }
+    /**
+     * <pre>
+     * Runs of the job may be at endpoints that the receiver does not know.
+     * </pre>
+     *
+     * <code>bool unknown_endpoints = 6;</code>
+     * @param value The unknownEndpoints to set.
+     * @return This builder for chaining.
+     */
+    public Builder setUnknownEndpoints(boolean value) {
+
+      unknownEndpoints_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Runs of the job may be at endpoints that the receiver does not know.
+     * </pre>
+     *
+     * <code>bool unknown_endpoints = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearUnknownEndpoints() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      unknownEndpoints_ = false;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolMessageCodec.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/PoolMessageCodec.java
@@ -41,6 +41,7 @@
                     .setAgeMs(p.ageMs())
                     .setHandovers(p.earlierOwners())
                     .addAllDoneTasks(p.doneTasks())
+                    .setUnknownEndpoints(p.unknownEndpoints())
                     .setAwaitedMs(encodeAwaited(p.awaitedMs()));
             return ToOwnerProto.newBuilder().setPresent(present).build();
         }
@@ -79,6 +80,7 @@
                 p.getAgeMs(),
                 p.getHandovers(),
                 p.getDoneTasksList(),
+                p.getUnknownEndpoints(),
                 decodeAwaited(p.getAwaitedMs()));
     }
 
@@ -138,7 +140,8 @@
             PoolHeartbeatProto.Builder beat = PoolHeartbeatProto.newBuilder()
                     .setToken(h.token())
                     .setSentAtMs(h.sentAtMs())
-                    .putAllWaiting(h.waitingJobs());
+                    .putAllWaiting(h.waitingJobs())
+                    .setListOutdated(h.listOutdated());
             h.successors().forEach(p -> beat.addPeers(encode(p)));
             out.setHeartbeat(beat);
         } else if (message instanceof PoolMessage.NotOwner n) {
@@ -190,7 +193,8 @@
                         message.getHeartbeat().getPeersList().stream()
                                 .map(PoolMessageCodec::decode)
                                 .toList(),
-                        message.getHeartbeat().getWaitingMap()));
+                        message.getHeartbeat().getWaitingMap(),
+                        message.getHeartbeat().getListOutdated()));
             case NOT_OWNER -> Optional.of(new PoolMessage.NotOwner(message.getNotOwner()));
             case NOT_ADMITTED -> Optional.of(new PoolMessage.JobNotAdmitted(message.getNotAdmitted()));
             default -> Optional.empty();
--- a/org.gooseberrypier.server/src/test/java/org/gooseberrypier/server/pool/ClosedLinksTest.java
+++ b/org.gooseberrypier.server/src/test/java/org/gooseberrypier/server/pool/ClosedLinksTest.java
@@ -440,6 +440,7 @@
                 0,
                 0,
                 List.of(),
+                false,
                 PoolMessage.ForwardJob.UNLIMITED);
     }
 }
--- a/org.gooseberrypier.server/src/test/java/org/gooseberrypier/server/pool/ReplacedLinksTest.java
+++ b/org.gooseberrypier.server/src/test/java/org/gooseberrypier/server/pool/ReplacedLinksTest.java
@@ -105,6 +105,7 @@
                 0,
                 0,
                 List.of(),
+                false,
                 PoolMessage.ForwardJob.UNLIMITED);
     }
 
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/EntryController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/EntryController.java
@@ -44,6 +44,9 @@
     private long nextDeadlineMs = Long.MAX_VALUE;
 
     private boolean ownerLinked;
+    /** Whether the owner may use endpoints that other VMs have forgotten; assumed until its first heartbeat tells. */
+    private boolean ownerListOutdated = true;
+
     private long ownerUnlinkedSinceMs;
     private long pauseEndedMs = Long.MIN_VALUE / 2;
     private long pausedMs;
@@ -79,6 +82,11 @@
         /** Whether all its callers may have left while this VM was suspended, so that no owner may start it. */
         private boolean held;
 
+        /** Whether the VM to which the job was forwarded last may have admitted it. */
+        private boolean mayBeAtOwner;
+        /** Whether runs of it may be at endpoints that other owners do not know. */
+        private boolean unknownEndpoints;
+
         EntryJob(PoolJob spec, long arrivedAtMs) {
             this.spec = spec;
             this.arrivedAtMs = arrivedAtMs;
@@ -294,9 +302,11 @@
                 board.now - job.arrivedAtMs,
                 job.earlierOwners,
                 new ArrayList<>(job.doneTasks),
+                job.unknownEndpoints,
                 job.deadlineMs - board.now));
         job.earlierOwners++;
         job.forwards++;
+        job.mayBeAtOwner = true;
     }
 
     void onMessage(PoolMessage.ToEntry message) {
@@ -309,6 +319,7 @@
             EntryJob job = jobs.get(n.job());
             if (job != null) {
                 job.earlierOwners = Math.max(0, job.earlierOwners - 1);
+                job.mayBeAtOwner = false;
             }
         } else if (message instanceof PoolMessage.JobFinished f) {
             EntryJob job = jobs.get(f.job());
@@ -321,6 +332,7 @@
             }
         } else if (message instanceof PoolMessage.Heartbeat h) {
             waiting = h.waitingJobs();
+            ownerListOutdated = h.listOutdated();
         }
     }
 
@@ -349,6 +361,10 @@
         } else if (ownerLinked) {
             ownerLinked = false;
             ownerUnlinkedSinceMs = board.now;
+            for (EntryJob j : jobs.values()) {
+                j.unknownEndpoints |= j.mayBeAtOwner && ownerListOutdated;
+            }
+            ownerListOutdated = true;
         }
     }
 
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/JobController.java
@@ -112,8 +112,7 @@
     private void subscribe(OwnedJob job, VmIncarnation vm, long link, PoolMessage.ForwardJob message) {
         long downSinceMs = linkedVms.isCurrent(vm, link) ? 0 : board.now;
         job.subscribers.put(
-                vm,
-                new OwnedJob.Subscription(link, downSinceMs, board.now, board.now + message.awaitedMs()));
+                vm, new OwnedJob.Subscription(link, downSinceMs, board.now, board.now + message.awaitedMs()));
     }
 
     /** Handles another caller of a job, which waits for longer. */
@@ -128,6 +127,7 @@
     private void updateResumed(OwnedJob job, PoolMessage.ForwardJob message) {
         job.resumed = true;
         job.resumedAtMs = board.now;
+        job.unknownEndpoints |= message.unknownEndpoints();
         for (int i : message.doneTasks()) {
             setDone(job, i);
         }
@@ -168,6 +168,7 @@
     }
 
     private void resume(OwnedJob job, VmIncarnation from, PoolMessage.ForwardJob message) {
+        job.unknownEndpoints = message.unknownEndpoints();
         for (int i : message.doneTasks()) {
             setDone(job, i);
         }
@@ -179,7 +180,7 @@
         board.log("event=job_resumed job=" + job.spec.id() + " vm=" + from.address() + " link="
                 + job.subscribers.get(from).link() + " age_ms=" + message.ageMs()
                 + " earlier_owners=" + message.earlierOwners() + " done=" + job.doneTasks + " running="
-                + job.activeTasks);
+                + job.activeTasks + " unknown_endpoints=" + job.unknownEndpoints);
         completeIfDone(job);
     }
 
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/LeaseController.java
@@ -54,12 +54,18 @@
     private static final long ZONE_ORPHAN_STOP_DELAY_MS = 200;
 
     /**
-     * Time for which an endpoint that left the list without draining is treated as possibly alive, in milliseconds. Its
-     * registration also expires while its zone is isolated, although the zone owner still uses the endpoint; the endpoint
-     * is listed again seconds later.
+     * Time for which an endpoint that left the list is treated as possibly alive, in milliseconds. Its registration also
+     * expires while the endpoint does not reach the store, as in an isolated zone, where it is still used; the endpoint is
+     * listed again seconds later.
      */
     private static final long UNLISTED_RETENTION_MS = 15_000;
 
+    /**
+     * Age of the list of endpoints from which on an owner may use endpoints that other VMs have forgotten, in milliseconds. It is
+     * shorter than {@link #UNLISTED_RETENTION_MS} by the time for which runs outlast the link over which their jobs came.
+     */
+    private static final long OUTDATED_LIST_MS = 10_000;
+
     /**
      * Longest time for which another owner may have kept a run of this owner alive beyond the lease that this one granted, in
      * milliseconds: it grants one lease at an endpoint with runs whose jobs it does not have, on a clock that may be slow.
@@ -76,6 +82,9 @@
     private long nextConfirmationAtMs = Long.MIN_VALUE;
     private final Map<String, Unlisted> unlisted = new HashMap<>();
     private long listRequestedAtMs = Long.MIN_VALUE;
+    /** When an outdated list was last replaced, in milliseconds. */
+    private long outdatedUntilMs = Long.MIN_VALUE / 2;
+
     /** When the first list was requested, in milliseconds; endpoints that had left the list before are not known. */
     private long firstListRequestedAtMs = Long.MAX_VALUE;
 
@@ -122,13 +131,14 @@
         Map<String, PoolEndpoint> listed = new HashMap<>();
         event.endpoints().forEach(e -> listed.put(e.id(), e));
         for (PoolEndpoint e : board.registeredEndpoints) {
-            if (!e.draining()) {
-                unlisted.putIfAbsent(e.id(), new Unlisted(e, board.now));
-            }
+            unlisted.putIfAbsent(e.id(), new Unlisted(e, board.now));
         }
         unlisted.values()
                 .removeIf(
                         d -> listed.containsKey(d.endpoint().id()) || board.now - d.sinceMs() > UNLISTED_RETENTION_MS);
+        if (isListTooOld()) {
+            outdatedUntilMs = board.now;
+        }
         listRequestedAtMs = event.requestedAtMs();
         firstListRequestedAtMs = Math.min(firstListRequestedAtMs, event.requestedAtMs());
         board.registeredEndpoints = event.endpoints();
@@ -137,6 +147,18 @@
         }
     }
 
+    private boolean isListTooOld() {
+        return firstListRequestedAtMs != Long.MAX_VALUE && board.now - listRequestedAtMs >= OUTDATED_LIST_MS;
+    }
+
+    /**
+     * Returns whether runs may be at endpoints that other VMs have forgotten. Load pattern: a zone that is isolated for long goes
+     * on using its endpoints; they are listed again seconds after its end.
+     */
+    boolean isListOutdated() {
+        return isListTooOld() || board.now - outdatedUntilMs < UNLISTED_RETENTION_MS;
+    }
+
     private void mergeRegistered() {
         Set<String> seen = new HashSet<>();
         for (PoolEndpoint e : board.registeredEndpoints) {
@@ -162,7 +184,7 @@
         }
         for (LeasedEndpoint e : new ArrayList<>(board.endpoints.values())) {
             if (!seen.contains(e.registration.id())) {
-                if (e.registered && !e.registration.draining()) {
+                if (e.registered) {
                     e.pollUntilMs = board.now + UNLISTED_RETENTION_MS;
                 }
                 e.registered = false;
@@ -321,6 +343,10 @@
         } else {
             e.renewing = false;
         }
+        if (isGone(e, event.result())) {
+            forget(e);
+            return;
+        }
         if (request.token() != board.token) {
             e.nextRenewalAtMs = board.now;
         } else if (event.result() instanceof LeaseRenewalResult.Held h) {
@@ -342,6 +368,25 @@
         }
     }
 
+    /**
+     * Returns whether the result of a renewal shows that an endpoint has ended: it drained, its entry has expired, and nothing or
+     * another instance listens at its address. A refusal alone does not show it for others, since a network failure may look
+     * the same and lets entries expire.
+     */
+    private static boolean isGone(LeasedEndpoint e, LeaseRenewalResult result) {
+        boolean ended = result instanceof LeaseRenewalResult.Unanswered u && u.refused()
+                || result instanceof LeaseRenewalResult.Rejected r
+                        && r.cause() == LeaseRenewalResult.Rejection.OTHER_INCARNATION;
+        return ended && !e.registered && e.registration.draining() && e.runs.isEmpty();
+    }
+
+    private void forget(LeasedEndpoint e) {
+        board.log("event=endpoint_ended endpoint=" + e.registration.id());
+        unlisted.remove(e.registration.id());
+        board.endpoints.remove(e.registration.id());
+        board.placementDue = true;
+    }
+
     private void onRejected(LeasedEndpoint e, PoolEffect.RenewLeases request, LeaseRenewalResult.Rejection cause) {
         switch (cause) {
             case FENCED -> {
@@ -376,7 +421,7 @@
         }
         e.incarnation = h.incarnation();
         e.lastAnsweredCallSentAtMs = Math.max(e.lastAnsweredCallSentAtMs, request.sentAtMs());
-        e.setClock(h.clockMs(), board.now);
+        e.setClock(h.clockMs(), request.sentAtMs(), board.now);
         if (otherIncarnation && !e.runs.isEmpty()) {
             // The new incarnation accepts starts that were addressed to the earlier one, with deadlines of its clock.
             e.extendLease(board.now, MAX_LEASE_MS);
--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/PoolMessage.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/pool/PoolMessage.java
@@ -19,10 +19,18 @@
      * @param ageMs the time since its caller submitted it, in milliseconds
      * @param earlierOwners the number of earlier owners of the job, under which tasks may have run or still run
      * @param doneTasks the indexes of the tasks that are known to be done
+     * @param unknownEndpoints whether the list of endpoints of an earlier owner may have been outdated, so that runs of the
+     *     job may be at endpoints that other owners have forgotten
      * @param awaitedMs how long a caller waits for the job at most from now on, in milliseconds, or {@link #UNLIMITED}; the owner
      *     starts no task of it after that, and runs of it end
      */
-    record ForwardJob(PoolJob job, long ageMs, int earlierOwners, List<Integer> doneTasks, long awaitedMs)
+    record ForwardJob(
+            PoolJob job,
+            long ageMs,
+            int earlierOwners,
+            List<Integer> doneTasks,
+            boolean unknownEndpoints,
+            long awaitedMs)
             implements ToOwner {
 
         /** Time for which a job is awaited whose caller does not tell how long it waits. */
@@ -40,7 +48,7 @@
          * @return the message with a higher age and less time for which the job is awaited
          */
         public ForwardJob delayed(long ms) {
-            return new ForwardJob(job, ageMs + ms, earlierOwners, doneTasks, awaitedMs - ms);
+            return new ForwardJob(job, ageMs + ms, earlierOwners, doneTasks, unknownEndpoints, awaitedMs - ms);
         }
 
         /**
@@ -105,8 +113,15 @@
      * @param sentAtMs when it was sent, on the owner's steady clock, in milliseconds
      * @param successors all VMs that have a link to the owner, in the order of succession; empty if unchanged
      * @param waitingJobs the number of jobs without a started task, by queue
+     * @param listOutdated whether the owner's list of endpoints is or was outdated, so that the owner may use endpoints that
+     *     other VMs have forgotten
      */
-    record Heartbeat(long token, long sentAtMs, List<VmIncarnation> successors, Map<String, Integer> waitingJobs)
+    record Heartbeat(
+            long token,
+            long sentAtMs,
+            List<VmIncarnation> successors,
+            Map<String, Integer> waitingJobs,
+            boolean listOutdated)
             implements ToEntry {
 
         /** Makes immutable copies of the collections. */
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/CallerDeadlineTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/CallerDeadlineTest.java
@@ -112,7 +112,7 @@
         submit(1, 500);
         nowMs += 600;
         deliver(new PoolEvent.OwnerMessageReceived(
-                OWNER.address(), link, new PoolMessage.Heartbeat(1, 77, List.of(), Map.of())));
+                OWNER.address(), link, new PoolMessage.Heartbeat(1, 77, List.of(), Map.of(), false)));
         assertEquals(
                 sent().subList(1, sent().size()),
                 List.of(new PoolMessage.WithdrawJob("job-1"), new PoolMessage.HeartbeatReceived(77)));
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/LateForwardTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/LateForwardTest.java
@@ -85,7 +85,8 @@
         long leftMs = nowMs;
         PoolJob job = PoolJobs.patientJob("job-1", 1, 5_000);
         late.add(new Late(
-                nowMs + DELAY_MS, new PoolMessage.ForwardJob(job, 0, 0, List.of(), PoolMessage.ForwardJob.UNLIMITED)));
+                nowMs + DELAY_MS,
+                new PoolMessage.ForwardJob(job, 0, 0, List.of(), false, PoolMessage.ForwardJob.UNLIMITED)));
         run(DELAY_MS + 20);
         assertEquals(running.size(), 1);
         linked = false;
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SuspensionEvidenceTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/SuspensionEvidenceTest.java
@@ -48,7 +48,7 @@
 
     private void heartbeat(long sentAtMs) {
         deliver(new PoolEvent.OwnerMessageReceived(
-                OWNER.address(), link, new PoolMessage.Heartbeat(TOKEN, sentAtMs, List.of(), Map.of())));
+                OWNER.address(), link, new PoolMessage.Heartbeat(TOKEN, sentAtMs, List.of(), Map.of(), false)));
     }
 
     private void tickFor(long ms) {
