--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/EntryController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/EntryController.java
@@ -141,17 +141,25 @@
         for (EntryJob j : jobs.values()) {
             boolean hold = mustHold(j);
             if (hold && !j.held) {
-                withdraw(j);
-                j.held = true;
+                hold(j);
             } else if (!hold && j.held) {
                 forwardUnlessHeld(j);
             }
         }
     }
 
+    private void hold(EntryJob job) {
+        boolean withdrawn = withdraw(job);
+        job.held = true;
+        board.log("event=job_held job=" + job.spec.id() + " longest_ms=" + suspension.longestMs() + " withdrawn="
+                + withdrawn);
+    }
+
     private void forwardUnlessHeld(EntryJob job) {
-        job.held = mustHold(job);
-        if (ownerLinked && !job.held) {
+        job.held = false;
+        if (mustHold(job)) {
+            hold(job);
+        } else if (ownerLinked) {
             forward(job);
         }
     }
