--- a/org.gooseberrypier.server/src/test/java/org/gooseberrypier/server/pool/PoolMessageCodecTest.java
+++ b/org.gooseberrypier.server/src/test/java/org/gooseberrypier/server/pool/PoolMessageCodecTest.java
@@ -29,6 +29,7 @@
             {new PoolMessage.JobFinished("job", new JobOutcome.Refused("why", 700))},
             {new PoolMessage.JobFinished("job", new JobOutcome.Unknown("why"))},
             {new PoolMessage.Heartbeat(7, 17, List.of(VM), Map.of("queue", 4), false)},
+            {new PoolMessage.Heartbeat(7, 17, List.of(), Map.of(), true)},
             {new PoolMessage.JobNotAdmitted("job")},
             {new PoolMessage.NotOwner(9)},
         };
