Publish the result of a call that could not be sent on an event loop also if the loop is faster

Seen: EffectPerformerTest.thrownFailureIsNotPublishedByTheCoreThreadWhoseRingMayBeFull failed once. Cause: the event loop may complete the reply before its consumer is attached; the core's thread publishes the result then, and would wait for itself if its ring were full. Change: the consumer is attached before the loop completes the reply. The new test, with a loop that runs its task at once, failed before and passes.

--- a/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/EffectPerformer.java
+++ b/org.gooseberrypier.server/src/main/java/org/gooseberrypier/server/pool/EffectPerformer.java
@@ -171,11 +171,17 @@
         try {
             reply = send.get();
         } catch (RuntimeException e) {
+            CompletableFuture<T> failed = new CompletableFuture<>();
+            publishResult(effect, failed, onFailure, then);
             // The result is published by an event loop: the core's thread cannot wait for room in its own ring.
-            reply = new CompletableFuture<>();
-            CompletableFuture<T> failed = reply;
             clients.group().execute(() -> failed.completeExceptionally(e));
+            return;
         }
+        publishResult(effect, reply, onFailure, then);
+    }
+
+    private static <T> void publishResult(
+            PoolEffect effect, CompletableFuture<T> reply, Function<Throwable, T> onFailure, Consumer<T> then) {
         reply.exceptionally(error -> {
                     logFailure(effect, error);
                     return onFailure.apply(error);
--- a/org.gooseberrypier.server/src/test/java/org/gooseberrypier/server/pool/EffectPerformerTest.java
+++ b/org.gooseberrypier.server/src/test/java/org/gooseberrypier/server/pool/EffectPerformerTest.java
@@ -185,6 +185,26 @@
         assertNotEquals(publisher, Thread.currentThread());
     }
 
+    /** The event loop runs what it is given before the core's thread goes on. */
+    @Test
+    public void thrownFailureIsNotPublishedByTheCoreThreadWhenTheEventLoopIsFaster() throws InterruptedException {
+        EventLoopGroup slow = group;
+        group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()) {
+            @Override
+            public void execute(Runnable task) {
+                next().submit(task).syncUninterruptibly();
+            }
+        };
+        try {
+            performer(true).perform(new PoolEffect.Claim(3, SELF));
+            nextEvent();
+            assertNotEquals(publisher, Thread.currentThread());
+        } finally {
+            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+            group = slow;
+        }
+    }
+
     @Test
     public void disconnectsThatWaitAtTheEventLoopAreReportedBeforeTheCheckOfCallers() throws InterruptedException {
         EffectPerformer p = performer(false);
