--- /dev/null
+++ b/org.gooseberrypier.soak/src/test/java/org/gooseberrypier/soak/SoakOptions.java
@@ -0,0 +1,56 @@
+package org.gooseberrypier.soak;
+
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+
+/**
+ * What distinguishes runs.
+ *
+ * @param jar the program
+ * @param seed the seed of all random choices
+ * @param seconds how long cuts begin, in seconds
+ * @param endpoints the number of endpoints
+ * @param load the load as a part of the endpoints' capacity
+ * @param targetLatencyMs the latency objective of the queue, by which jobs are refused, in milliseconds
+ * @param leavings the ways in which callers leave, equally likely
+ * @param cuts the kinds of cuts, equally likely: both, in, out, reset, late
+ * @param overlapping whether cuts may overlap
+ * @param pauses whether VMs are stopped for 0.1 to 0.4 s again and again
+ */
+record SoakOptions(
+        Path jar,
+        long seed,
+        int seconds,
+        int endpoints,
+        double load,
+        long targetLatencyMs,
+        List<Leaving> leavings,
+        List<String> cuts,
+        boolean overlapping,
+        boolean pauses) {
+
+    /** Reads the system properties that begin with {@code soak.}. */
+    static SoakOptions read(long seed) {
+        return new SoakOptions(
+                Path.of(text("jar", "../org.gooseberrypier.pgm/target/gooseberrypier.jar"))
+                        .toAbsolutePath()
+                        .normalize(),
+                seed,
+                Integer.parseInt(text("seconds", "30")),
+                Integer.parseInt(text("endpoints", "18")),
+                Double.parseDouble(text("load", "0.6")),
+                Long.parseLong(text("target", "3000")),
+                Arrays.stream(text("callers", "CLOSE,CLOSE,CLOSE,HALF_CLOSE,SILENT,EARLY_CLOSE,LATE_REQUEST")
+                                .split(","))
+                        .map(Leaving::valueOf)
+                        .toList(),
+                List.of(text("cuts", "both,in,out,reset,late").split(",")),
+                Boolean.parseBoolean(text("overlapping", "true")),
+                Boolean.parseBoolean(text("pauses", "false")));
+    }
+
+    static String text(String name, String standard) {
+        return System.getProperty("soak." + name, standard);
+    }
+}
