--- a/org.gooseberrypier.soak/src/test/java/org/gooseberrypier/soak/SoakOptions.java
+++ b/org.gooseberrypier.soak/src/test/java/org/gooseberrypier/soak/SoakOptions.java
@@ -12,6 +12,7 @@
  * @param seconds how long cuts begin, in seconds
  * @param endpoints the number of endpoints
  * @param load the load as a part of the endpoints' capacity
+ * @param stretch the factor by which tasks take longer and come less often than those of the site, at the same load
  * @param targetLatencyMs the latency objective of the queue, by which jobs are refused, in milliseconds
  * @param leavings the ways in which callers leave, equally likely
  * @param cuts the kinds of cuts, equally likely: both, in, out, reset, late
@@ -24,6 +25,7 @@
         int seconds,
         int endpoints,
         double load,
+        double stretch,
         long targetLatencyMs,
         List<Leaving> leavings,
         List<String> cuts,
@@ -38,9 +40,10 @@
                         .normalize(),
                 seed,
                 Integer.parseInt(text("seconds", "30")),
-                Integer.parseInt(text("endpoints", "18")),
-                Double.parseDouble(text("load", "0.6")),
-                Long.parseLong(text("target", "3000")),
+                Integer.parseInt(text("endpoints", "12")),
+                Double.parseDouble(text("load", "1.2")),
+                Double.parseDouble(text("stretch", "2")),
+                Long.parseLong(text("target", "30000")),
                 Arrays.stream(text("callers", "CLOSE,CLOSE,CLOSE,HALF_CLOSE,SILENT,EARLY_CLOSE,LATE_REQUEST")
                                 .split(","))
                         .map(Leaving::valueOf)
--- a/org.gooseberrypier.soak/src/test/java/org/gooseberrypier/soak/SoakRun.java
+++ b/org.gooseberrypier.soak/src/test/java/org/gooseberrypier/soak/SoakRun.java
@@ -37,13 +37,18 @@
     private static final long SETTLE_MS = 6_000;
     private static final int FRESH_JOBS = 21;
     private static final long FRESH_WAIT_MS = 10_000;
+    /** The slots that the three parts of the load keep busy at their full rates. */
+    private static final double LOAD_SLOTS = 55.4;
+
+    private static final long WARM_UP_MS = 6_000;
     private static final long TICK_MS = 10;
 
     private final SoakOptions options;
     private final Random random;
     private final Addresses addresses;
     private final Path folder;
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(3, NioIoHandler.newFactory());
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(4, NioIoHandler.newFactory());
+    private final LoopDelay delay = new LoopDelay(group);
     private final RunBook book = new RunBook();
     private final CutProxy proxy;
     private final StandinStore store;
@@ -113,7 +118,7 @@
         List<RunBook.DoubleRun> found = book.doubleRuns();
         String summary = String.format(
                 Locale.ROOT,
-                "seed=%d cases=%d tasks started=%d completed=%d left=%s fresh=%d/%d alive=%d folder=%s",
+                "seed=%d cases=%d tasks started=%d completed=%d left=%s fresh=%d/%d alive=%d stand-ins late %s folder=%s",
                 options.seed(),
                 found.size(),
                 book.started(),
@@ -122,6 +127,7 @@
                 fresh,
                 FRESH_JOBS,
                 vms.stream().filter(VmProcess::isAlive).count(),
+                delay,
                 folder);
         return new Result(found, summary, fresh, FRESH_JOBS, folder);
     }
@@ -195,13 +201,14 @@
 
     /** Returns a task that submits jobs at a rate, which is scaled to the endpoints of the run. */
     private Runnable load(double perSecond, int tasks, long taskMs) {
-        double rate = perSecond * options.load() * options.endpoints() * SLOTS / 55.4;
+        double rate = perSecond * options.load() * options.endpoints() * SLOTS / LOAD_SLOTS / options.stretch();
         long firstNanos = System.nanoTime();
         int[] sent = {0};
         return () -> {
             double due = rate * (System.nanoTime() - firstNanos) / TimeUnit.SECONDS.toNanos(1);
             while (loading && sent[0] < due) {
-                callers.submit(new Callers.Job("j" + tasks + "x" + sent[0]++, tasks, taskMs));
+                callers.submit(new Callers.Job(
+                        "j" + tasks + "x" + sent[0]++, tasks, Math.round(taskMs * options.stretch())));
             }
         };
     }
@@ -227,8 +234,8 @@
     }
 
     private void cutAgainAndAgain() throws InterruptedException {
+        Thread.sleep(WARM_UP_MS);
         double end = book.now() + options.seconds();
-        Thread.sleep(3_000);
         while (book.now() < end) {
             Cut cut = draw();
             begin(cut);
