--- a/org.gooseberrypier.soak/src/test/java/org/gooseberrypier/soak/Callers.java
+++ b/org.gooseberrypier.soak/src/test/java/org/gooseberrypier/soak/Callers.java
@@ -190,7 +190,7 @@
             synchronized (Callers.this) {
                 if (leaving == Leaving.LATE_REQUEST) {
                     first = request.length / 2;
-                    rest = 200 + random.nextInt(1_000);
+                    rest = 200 + random.nextInt((int) deadlineMs - 400);
                 }
                 long leaveMs = leaving.isEarly() ? 10 + random.nextInt(490) : deadlineMs;
                 channel.eventLoop().schedule(() -> leave(channel), leaveMs, TimeUnit.MILLISECONDS);
