--- a/org.gooseberrypier.soak/src/test/java/org/gooseberrypier/soak/Callers.java
+++ b/org.gooseberrypier.soak/src/test/java/org/gooseberrypier/soak/Callers.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Predicate;
@@ -88,9 +89,11 @@
         submit(job, pick(vms), 1);
     }
 
-    /** Submits a job for which the caller waits long. */
-    void submitPatiently(Job job, VmProcess vm, long deadlineMs) {
-        new Submission(job, vm, MAX_SUBMISSIONS, Leaving.CLOSE, deadlineMs).open();
+    /** Submits a job once, for which the caller waits long, and returns whether it completed. */
+    CompletableFuture<Boolean> submitPatiently(Job job, VmProcess vm, long deadlineMs) {
+        Submission submission = new Submission(job, vm, MAX_SUBMISSIONS, Leaving.CLOSE, deadlineMs);
+        submission.open();
+        return submission.completion;
     }
 
     int completed() {
@@ -153,6 +156,7 @@
         private final int number;
         private final Leaving leaving;
         private final long deadlineMs;
+        private final CompletableFuture<Boolean> completion = new CompletableFuture<>();
         private boolean over;
 
         Submission(Job job, VmProcess vm, int number, Leaving leaving, long deadlineMs) {
@@ -182,8 +186,7 @@
         }
 
         private void send(SocketChannel channel) {
-            book.caller(
-                    job.id(), "submits to " + vm.name() + " (" + vm.zone() + ") " + leaving + " in " + deadlineMs);
+            book.caller(job.id(), "submits to " + vm.name() + " (" + vm.zone() + ") " + leaving + " in " + deadlineMs);
             byte[] request = request();
             int first = request.length;
             long rest = 0;
@@ -208,8 +211,8 @@
         }
 
         private byte[] request() {
-            String body = "{\"spec\":\"" + job.taskMs() + " ms\",\"best_effort\":true,\"phases\":[{\"count\":" + job.tasks()
-                    + ",\"cpu\":6800,\"mem_mb\":64,\"estimate_ms\":" + job.taskMs() + "}]}";
+            String body = "{\"spec\":\"" + job.taskMs() + " ms\",\"best_effort\":true,\"phases\":[{\"count\":"
+                    + job.tasks() + ",\"cpu\":6800,\"mem_mb\":64,\"estimate_ms\":" + job.taskMs() + "}]}";
             String head = "POST " + PATH_PREFIX + job.id() + " HTTP/1.1\r\nhost: " + HOST
                     + "\r\ncontent-type: application/json\r\nGooseberrypier-Deadline-Ms: " + deadlineMs
                     + "\r\ncontent-length: " + body.length() + "\r\n\r\n";
@@ -236,10 +239,10 @@
                 return;
             }
             over = true;
+            completion.complete(false);
             book.caller(job.id(), what);
             if (again && number < MAX_SUBMISSIONS) {
-                group.schedule(
-                        () -> submit(job, elsewhere(job, vm), number + 1), RESUBMIT_MS, TimeUnit.MILLISECONDS);
+                group.schedule(() -> submit(job, elsewhere(job, vm), number + 1), RESUBMIT_MS, TimeUnit.MILLISECONDS);
             }
         }
 
@@ -248,11 +251,12 @@
             if (over) {
                 return;
             }
-            int status = Integer.parseInt(reply.toString(
-                    reply.readerIndex() + STATUS_AT, STATUS_DIGITS, StandardCharsets.US_ASCII));
+            int status = Integer.parseInt(
+                    reply.toString(reply.readerIndex() + STATUS_AT, STATUS_DIGITS, StandardCharsets.US_ASCII));
             if (status == OK) {
                 completed.incrementAndGet();
             }
+            completion.complete(status == OK);
             end("gets " + status + " from " + vm.name(), status != OK && status != UNAVAILABLE);
             context.close();
         }
--- a/org.gooseberrypier.soak/src/test/java/org/gooseberrypier/soak/Cut.java
+++ b/org.gooseberrypier.soak/src/test/java/org/gooseberrypier/soak/Cut.java
@@ -26,7 +26,8 @@
         if (from.equals(to)) {
             return false;
         }
-        return from.equals(zone) && direction != Direction.INBOUND || to.equals(zone) && direction != Direction.OUTBOUND;
+        return from.equals(zone) && direction != Direction.INBOUND
+                || to.equals(zone) && direction != Direction.OUTBOUND;
     }
 
     @Override
--- a/org.gooseberrypier.soak/src/test/java/org/gooseberrypier/soak/CutProxy.java
+++ b/org.gooseberrypier.soak/src/test/java/org/gooseberrypier/soak/CutProxy.java
@@ -17,8 +17,8 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -53,7 +53,13 @@
      * @param peers whether both are VMs, which name addresses to each other
      */
     record Route(
-            int client, String clientZone, int server, String serverZone, HostPort listen, HostPort target, boolean peers) {
+            int client,
+            String clientZone,
+            int server,
+            String serverZone,
+            HostPort listen,
+            HostPort target,
+            boolean peers) {
 
         boolean holdsToServer(List<Cut> cuts) {
             return cuts.stream().anyMatch(c -> c.holds(clientZone, serverZone));
--- a/org.gooseberrypier.soak/src/test/java/org/gooseberrypier/soak/SoakRun.java
+++ b/org.gooseberrypier.soak/src/test/java/org/gooseberrypier/soak/SoakRun.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -68,8 +69,7 @@
      * @param freshJobs the jobs that were submitted then
      * @param folder the folder with the logs
      */
-    record Result(
-            List<RunBook.DoubleRun> doubleRuns, String summary, int freshCompleted, int freshJobs, Path folder) {}
+    record Result(List<RunBook.DoubleRun> doubleRuns, String summary, int freshCompleted, int freshJobs, Path folder) {}
 
     SoakRun(SoakOptions options) throws IOException {
         this.options = options;
@@ -79,7 +79,15 @@
         folder = Files.createTempDirectory("soak-" + options.seed() + "-");
         proxy = new CutProxy(group, addresses);
         store = new StandinStore(group, addresses.own(STORE_TARGET, Addresses.STORE_PORT));
-        callers = new Callers(group, vms, this::isIsolated, book, new Random(options.seed()), options.leavings(), options.homes(), addresses);
+        callers = new Callers(
+                group,
+                vms,
+                this::isIsolated,
+                book,
+                new Random(options.seed()),
+                options.leavings(),
+                options.homes(),
+                addresses);
         Runtime.getRuntime().addShutdownHook(ender);
     }
 
@@ -105,16 +113,12 @@
         cutAgainAndAgain();
         loading = false;
         Thread.sleep(SETTLE_MS);
-        int before = callers.completed();
+        List<CompletableFuture<Boolean>> answers = new ArrayList<>();
         for (int i = 0; i < FRESH_JOBS; i++) {
-            callers.submitPatiently(
-                    new Callers.Job("fresh" + i, 2, 50), vms.get(i % vms.size()), FRESH_WAIT_MS - CALL_TIMEOUT_MS);
+            answers.add(callers.submitPatiently(
+                    new Callers.Job("fresh" + i, 2, 50), vms.get(i % vms.size()), FRESH_WAIT_MS));
         }
-        double end = book.now() + FRESH_WAIT_MS / 1_000.0;
-        while (book.now() < end && callers.completed() - before < FRESH_JOBS) {
-            Thread.sleep(TICK_MS);
-        }
-        int fresh = callers.completed() - before;
+        int fresh = (int) answers.stream().filter(CompletableFuture::join).count();
         List<RunBook.DoubleRun> found = book.doubleRuns();
         String summary = String.format(
                 Locale.ROOT,
@@ -218,8 +222,8 @@
         return () -> {
             double due = rate * (System.nanoTime() - firstNanos) / TimeUnit.SECONDS.toNanos(1);
             while (loading && sent[0] < due) {
-                callers.submit(new Callers.Job(
-                        "j" + tasks + "x" + sent[0]++, tasks, Math.round(taskMs * options.stretch())));
+                callers.submit(
+                        new Callers.Job("j" + tasks + "x" + sent[0]++, tasks, Math.round(taskMs * options.stretch())));
             }
         };
     }
--- a/org.gooseberrypier.soak/src/test/java/org/gooseberrypier/soak/SoakTest.java
+++ b/org.gooseberrypier.soak/src/test/java/org/gooseberrypier/soak/SoakTest.java
@@ -1,8 +1,5 @@
 package org.gooseberrypier.soak;
 
-import static org.testng.Assert.assertEquals;
-import static org.testng.Assert.assertTrue;
-
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -12,6 +9,9 @@
 
 import org.testng.annotations.Test;
 
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
 /** No task runs twice at once, whatever is cut off, and fresh jobs complete once the network has healed. */
 public class SoakTest {
 
--- a/org.gooseberrypier.soak/src/test/java/org/gooseberrypier/soak/VmProcess.java
+++ b/org.gooseberrypier.soak/src/test/java/org/gooseberrypier/soak/VmProcess.java
@@ -14,11 +14,7 @@
     private static final long END_TIMEOUT_S = 5;
 
     private static final List<String> JVM_OPTIONS = List.of(
-            "-Xmx194m",
-            "-Xss256k",
-            "-XX:+UseSerialGC",
-            "-XX:TieredStopAtLevel=1",
-            "-Dgooseberrypier.log.stdout=true");
+            "-Xmx194m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Dgooseberrypier.log.stdout=true");
 
     private static final String SETTINGS =
             """
