--- a/org.gooseberrypier.http/src/test/java/org/gooseberrypier/http/HttpServerTest.java
+++ b/org.gooseberrypier.http/src/test/java/org/gooseberrypier/http/HttpServerTest.java
@@ -306,6 +306,39 @@
         }
     }
 
+    /** Connections are accepted by one loop and read by another one; only the first is blocked. */
+    @Test(groups = "known-red")
+    public void aRequestThatWaitsInTheAcceptQueueOfAnotherLoopMayHaveArrivedWhenThatLoopWasBlocked() throws Exception {
+        EventLoopGroup loops = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+        try (HttpServer server =
+                HttpServer.builder(loops, calls::add).countBlockedLoops().open(ANY_PORT)) {
+            Thread.sleep(200);
+            CountDownLatch blocked = new CountDownLatch(1);
+            // The group hands out its loops in turn; the listener got the first one.
+            var accepting = loops.iterator().next();
+            accepting.execute(() -> block(blocked, 600));
+            blocked.await();
+            for (int i = 0; i < 2; i++) {
+                try (RawClient late = new RawClient(server.address())) {
+                    late.write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+                    long sentNanos = System.nanoTime();
+                    awaitCalls(i + 1);
+                    long earlyMs = TimeUnit.NANOSECONDS.toMillis(
+                            sentNanos - calls.get(i).arrivedNanos());
+                    assertTrue(earlyMs >= 0, "connection " + i + " counted from " + -earlyMs + " ms after it was sent");
+                }
+                if (i == 0) {
+                    Thread.sleep(300);
+                    CountDownLatch again = new CountDownLatch(1);
+                    accepting.execute(() -> block(again, 600));
+                    again.await();
+                }
+            }
+        } finally {
+            loops.shutdownGracefully(0, 1_000, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+        }
+    }
+
     private static void block(CountDownLatch blocked, long ms) {
         blocked.countDown();
         try {
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/CrossingMessagesTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/CrossingMessagesTest.java
@@ -248,4 +248,21 @@
         run(2_000);
         assertEquals(started, List.of());
     }
+
+    /** The owner ends the first submission at its deadline; its outcome crosses the withdrawal and the second submission. */
+    @Test(groups = "known-red")
+    public void aJobThatTheOutcomeOfAnEarlierSubmissionAnsweredIsNotStarted() {
+        submit(1, 500);
+        run(100);
+        entryHandlesEvents = false;
+        run(430);
+        submit(2, PoolEvent.JobSubmitted.UNLIMITED);
+        entryHandlesEvents = true;
+        readMessages();
+        assertEquals(answered, List.of(1L, 2L));
+        run(RESUBMISSION_DELAY_MS);
+        addEndpoint();
+        run(2_000);
+        assertEquals(started, List.of());
+    }
 }
