--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/EntryController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/EntryController.java
@@ -52,6 +52,8 @@
     private long pausedMs;
     /** Whether jobs may be held. */
     private boolean holding;
+    /** When it was last checked which jobs must be held, in milliseconds; events of one millisecond need one check. */
+    private long heldAtMs;
 
     /**
      * Call of a caller that waits for a job.
@@ -157,10 +159,12 @@
 
     /** Withdraws the jobs that must be held, and forwards those that need not be held any more. */
     private void holdJobs() {
-        if (!suspension.isOpen() && !holding) {
+        boolean checked = holding && suspension.isOpen() && board.now == heldAtMs;
+        if (checked || !suspension.isOpen() && !holding) {
             return;
         }
         holding = suspension.isOpen();
+        heldAtMs = board.now;
         for (EntryJob j : jobs.values()) {
             boolean hold = mustHold(j);
             if (hold && !j.held) {
