--- a/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/EntryController.java
+++ b/org.gooseberrypier/src/main/java/org/gooseberrypier/internal/pool/EntryController.java
@@ -79,6 +79,8 @@
         /** The number of VMs to which the job was forwarded and which may have admitted it. */
         private int earlierOwners;
 
+        /** Whether the job was ever forwarded. */
+        private boolean forwarded;
         /** Whether all its callers may have left while this VM was suspended, so that no owner may start it. */
         private boolean held;
 
@@ -295,11 +297,11 @@
     }
 
     /**
-     * Tells the owner that nobody waits for a job any more; returns false if there is no link. A job that may not have been
+     * Tells the owner that nobody waits for a job any more; returns false if there is no link or no need to. A job that may not have been
      * admitted is withdrawn too: the count of owners that may have it can be too low after an answer to an earlier submission.
      */
     private boolean withdraw(EntryJob job) {
-        boolean needed = ownerLinked && !job.held;
+        boolean needed = ownerLinked && job.forwarded && !job.held;
         if (needed) {
             board.sendToOwner(new PoolMessage.WithdrawJob(job.spec.id()));
         }
@@ -315,6 +317,7 @@
                 job.unknownEndpoints,
                 job.deadlineMs - board.now));
         job.earlierOwners++;
+        job.forwarded = true;
         job.mayBeAtOwner = true;
     }
 
@@ -335,7 +338,8 @@
             if (job != null) {
                 answer(job, f.outcome());
                 if (!(f.outcome() instanceof JobOutcome.Completed)) {
-                    // The owner may have sent the outcome before the latest forward reached it; a completed job it remembers.
+                    // The owner may have sent the outcome before the latest forward reached it; a completed job it
+                    // remembers.
                     withdraw(job);
                 }
             }
