--- a/org.gooseberrypier.soak/src/test/java/org/gooseberrypier/soak/SoakTest.java
+++ b/org.gooseberrypier.soak/src/test/java/org/gooseberrypier/soak/SoakTest.java
@@ -33,12 +33,24 @@
                 print(result);
                 cases += result.doubleRuns().size();
                 unserved += result.freshJobs() - result.freshCompleted();
+                if (cases + unserved == 0) {
+                    deleteLogs(result.folder());
+                }
             }
         }
         assertEquals(cases, 0, "tasks that ran twice at once");
         assertEquals(unserved, 0, "fresh jobs that did not complete after the last cut");
     }
 
+    private static void deleteLogs(Path folder) throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            for (Path file : files.toList()) {
+                Files.delete(file);
+            }
+        }
+        Files.delete(folder);
+    }
+
     private static void print(SoakRun.Result result) throws IOException {
         for (RunBook.DoubleRun d : result.doubleRuns()) {
             System.out.println(d.text());
