--- a/org.gooseberrypier.http/src/main/java/org/gooseberrypier/http/HttpServer.java
+++ b/org.gooseberrypier.http/src/main/java/org/gooseberrypier/http/HttpServer.java
@@ -219,7 +219,7 @@
 
         /**
          * Makes {@link HttpCall#arrivedNanos} include time during which the event loops are blocked; a task that runs each
-         * 20 ms on each of them notices that.
+         * 20 ms on each of them notices that. Time in the accept queue is included only if one event loop serves all connections.
          *
          * @return this builder
          */
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/model/PoolModelTest.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/model/PoolModelTest.java
@@ -98,7 +98,7 @@
 
     @Test(dataProvider = "sides")
     public void thePresentRulesHoldInCutsOfAnyTime(Side side, int deadline) {
-        assertHolds(anyCut(scenario(Rules.PRESENT, Set.of(), 0, side, deadline)));
+        assertHolds(anyCut(scenario(Rules.WITHDRAWALS, Set.of(), 0, side, deadline)));
     }
 
     @Test(dataProvider = "sides")
@@ -123,11 +123,11 @@
         };
     }
 
-    /** The model is fine enough to show the gaps of the present rules, of which CrossingMessagesTest has the events. */
+    /** The model is fine enough to show the gaps of the rules without a bound, of which CrossingMessagesTest has the events. */
     @Test(dataProvider = "gaps")
     public void thePresentRulesHaveTheKnownGaps(int deadline, Set<Fault> faults, int maxFaults) {
-        assertBreaks(scenario(Rules.PRESENT, faults, maxFaults, Side.OLD, deadline));
-        assertBreaks(scenario(Rules.PRESENT, faults, maxFaults, Side.NEW, deadline));
+        assertBreaks(scenario(Rules.WITHDRAWALS, faults, maxFaults, Side.OLD, deadline));
+        assertBreaks(scenario(Rules.WITHDRAWALS, faults, maxFaults, Side.NEW, deadline));
     }
 
     /** Without these rules a job whose caller has left early is awaited until its deadline. */
@@ -148,11 +148,11 @@
         assertHolds(new Scenario(Rules.BOUNDED, faults, 3, true, 2, LATE, 0, 0, 0, false, SHORT_STEPS));
     }
 
-    /** The entry VM counts the deadline from its reading of the request; the present rules leave it less than 0.2 s. */
+    /** The entry VM counts the deadline from its reading of the request; the rules without a bound leave it less than 0.2 s. */
     @Test
     public void aRequestMayBeReadLateByLessThanTheResubmissionDelay() {
         Set<Fault> faults = EnumSet.of(Fault.STOP_LOST);
-        assertBreaks(readLate(scenario(Rules.PRESENT, faults, 1, Side.OLD, EARLY), 2));
+        assertBreaks(readLate(scenario(Rules.WITHDRAWALS, faults, 1, Side.OLD, EARLY), 2));
         Scenario bounded = scenario(Rules.BOUNDED, faults, 1, Side.OLD, EARLY);
         assertHolds(readLate(bounded, Scenario.RESUBMISSION_STEPS - 1));
         assertBreaks(readLate(bounded, Scenario.RESUBMISSION_STEPS));
--- a/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/model/Rules.java
+++ b/org.gooseberrypier/src/test/java/org/gooseberrypier/pool/model/Rules.java
@@ -19,9 +19,9 @@
         boolean streamBound,
         boolean heardByHeartbeats) {
 
-    /** The rules of the present code. */
-    static final Rules PRESENT = new Rules("present", false, false, false, false, false);
+    /** Rules by which only a withdrawal or the loss of the link ends a job. */
+    static final Rules WITHDRAWALS = new Rules("withdrawals", false, false, false, false, false);
 
-    /** The present rules with a bound that travels with the job, and without the gaps that the bound leaves. */
+    /** The rules with a bound that travels with the job, and without the gaps that the bound leaves. */
     static final Rules BOUNDED = new Rules("bounded", true, true, true, true, true);
 }
